--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -21,6 +21,7 @@
       {kNotFound, "not_found", 404, "The named object does not exist."},
       {kMethodNotAllowed, "method_not_allowed", 405, "The path does not support the method."},
       {kMalformedHttp, "malformed_http", 400, "The bytes are not a valid HTTP request."},
+      {kJobUnknown, "job_unknown", 410, "There is no job of that name."},
       {kQueueFull, "queue_full", 429, "Not run: the queue of the team and kind is full."},
       {kWaitTooLong, "wait_too_long", 429, "Not run: the expected wait exceeds the bound."},
       {kCanNeverFit, "can_never_fit", 422, "Not run: no known worker can hold the task."},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -26,6 +26,7 @@
   kNotFound = 1010,
   kMethodNotAllowed = 1011,
   kMalformedHttp = 1012,
+  kJobUnknown = 1013,
 
   // 2000: the request was refused and did not run.
   kQueueFull = 2000,
--- /dev/null
+++ b/src/cell/cell_client.cpp
@@ -0,0 +1,160 @@
+#include "cell/cell_client.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+#include "base/event_log.h"
+#include "wire/codec.h"
+
+namespace parsleyline::cell {
+namespace {
+
+// A leader that has not answered a call within this time may be cut off; another process is asked.
+constexpr Milliseconds kAttemptTimeout{900};
+constexpr Milliseconds kRetryPause{60};
+constexpr Milliseconds kPresenceInterval{1000};
+constexpr Milliseconds kPresenceRetry{150};
+constexpr Milliseconds kPresenceTimeout{800};
+
+}  // namespace
+
+struct CellClient::Impl : std::enable_shared_from_this<CellClient::Impl> {
+  struct Pending {
+    std::string method;
+    std::string body;
+    TimePoint deadline;
+    AnswerDone done;
+    bool may_have_run = false;
+    std::size_t attempts = 0;
+  };
+
+  Impl(boost::asio::io_context& context, Peers& peer_table, std::vector<NodeId> first)
+      : io(context), peers(peer_table), seeds(std::move(first)), presence_timer(context) {}
+
+  /// Returns the process to ask next.
+  NodeId Target() {
+    if (!leader.value().empty()) return leader;
+    std::set<NodeId> known(seeds.begin(), seeds.end());
+    known.insert(members.begin(), members.end());
+    if (known.empty()) return peers.self();
+    auto it = known.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(next++ % known.size()));
+    return *it;
+  }
+
+  void Attempt(const std::shared_ptr<Pending>& call) {
+    const auto left = std::chrono::duration_cast<Milliseconds>(call->deadline - clock.Now());
+    if (left <= Milliseconds(0)) {
+      return call->done(
+          {Fail(ResultCode::kNoLeader, "no leader answered in time"), call->may_have_run});
+    }
+    const NodeId target = Target();
+    ++call->attempts;
+    peers.Client(target).Call(
+        call->method, call->body, std::min(left, kAttemptTimeout),
+        [self = shared_from_this(), call, target](Result<std::string> result) {
+          self->OnResult(call, target, std::move(result));
+        });
+  }
+
+  void OnResult(const std::shared_ptr<Pending>& call, const NodeId& target,
+                Result<std::string> result) {
+    if (result) {
+      leader = target;
+      last_contact = clock.Now();
+      return call->done({std::move(result), true});
+    }
+    const ResultCode code = result.error().code;
+    const bool not_run = code == ResultCode::kNotLeader || code == ResultCode::kConnectionFailed ||
+                         code == ResultCode::kShuttingDown || code == ResultCode::kOverloaded ||
+                         code == ResultCode::kNoLeader;
+    if (!not_run) call->may_have_run = true;
+    if (leader == target) leader = NodeId();
+    // A process that does not lead names the leader in its message.
+    const bool hinted = code == ResultCode::kNotLeader && !result.error().message.empty() &&
+                        NodeId(result.error().message) != target;
+    if (hinted) leader = NodeId(result.error().message);
+    Retry(call, hinted && call->attempts <= 2 ? Milliseconds(0) : kRetryPause);
+  }
+
+  void Retry(const std::shared_ptr<Pending>& call, Milliseconds pause) {
+    if (pause == Milliseconds(0)) return Attempt(call);
+    auto timer = std::make_shared<boost::asio::steady_timer>(io, pause);
+    timer->async_wait([self = shared_from_this(), call, timer](const boost::system::error_code&) {
+      self->Attempt(call);
+    });
+  }
+
+  void SendPresence() {
+    Start(kPresenceMethod, wire::Encode(Presence{peers.self()}), kPresenceTimeout,
+          [self = shared_from_this()](const Answer& answer) { self->OnPresence(answer); });
+  }
+
+  void OnPresence(const Answer& answer) {
+    Milliseconds pause = kPresenceRetry;
+    const auto view = answer.body ? wire::Decode<CellView>(*answer.body)
+                                  : Result<CellView>(tl::make_unexpected(answer.body.error()));
+    const bool connected = view.has_value();
+    if (connected != was_connected) {
+      Event(connected ? "cell_reached" : "cell_lost",
+            connected ? Severity::kInfo : Severity::kWarning)
+          .With("leader", leader)
+          .With("reason", connected ? "answered" : view.error().message);
+      was_connected = connected;
+    }
+    if (connected) {
+      members = view->members;
+      pause = kPresenceInterval;
+    }
+    presence_timer.expires_after(pause);
+    presence_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+      if (!ec) self->SendPresence();
+    });
+  }
+
+  void Start(const std::string& method, std::string body, Milliseconds time_limit,
+             AnswerDone done) {
+    auto call = std::make_shared<Pending>();
+    call->method = method;
+    call->body = std::move(body);
+    call->deadline = clock.Now() + time_limit;
+    call->done = std::move(done);
+    Attempt(call);
+  }
+
+  boost::asio::io_context& io;
+  Peers& peers;
+  std::vector<NodeId> seeds;
+  std::vector<NodeId> members;
+  NodeId leader;
+  std::size_t next = 0;
+  TimePoint last_contact;
+  bool was_connected = false;
+  boost::asio::steady_timer presence_timer;
+  const SteadyClock clock;
+};
+
+CellClient::CellClient(boost::asio::io_context& io, Peers& peers, std::vector<NodeId> seeds)
+    : impl_(std::make_shared<Impl>(io, peers, std::move(seeds))) {}
+
+CellClient::~CellClient() = default;
+
+void CellClient::Call(const std::string& method, std::string body, Milliseconds time_limit,
+                      AnswerDone done) {
+  impl_->Start(method, std::move(body), time_limit, std::move(done));
+}
+
+void CellClient::Start() { impl_->SendPresence(); }
+
+void CellClient::SetSeeds(std::vector<NodeId> seeds) { impl_->seeds = std::move(seeds); }
+
+bool CellClient::IsConnected(Milliseconds within) const {
+  return impl_->last_contact != TimePoint() && impl_->clock.Now() - impl_->last_contact < within;
+}
+
+NodeId CellClient::Leader() const { return impl_->leader; }
+
+}  // namespace parsleyline::cell
--- /dev/null
+++ b/src/cell/cell_core.cpp
@@ -0,0 +1,317 @@
+#include "cell/cell_core.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "base/event_log.h"
+#include "wire/codec.h"
+
+namespace parsleyline::cell {
+namespace {
+
+constexpr Milliseconds kTickInterval{20};
+// Events within this time share one record of the log.
+constexpr Milliseconds kPumpDelay{3};
+// A process that asks the advisor for the leader has this long.
+constexpr Milliseconds kAdviceTimeout{4500};
+constexpr Milliseconds kRaftHeartbeat{75};
+constexpr Milliseconds kElectionMin{450};
+constexpr Milliseconds kElectionMax{900};
+// The disk of a small VM holds 128 MB: the log, the snapshot and the one before must fit.
+constexpr std::size_t kCompactionBytes = std::size_t{6} << 20U;
+constexpr std::uint64_t kSegmentBytes = std::uint64_t{4} << 20U;
+constexpr std::size_t kJobIdLength = 16;
+
+job::UnixMillis UnixNow() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return job::UnixMillis(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+bool IsJobId(const std::string& text) {
+  return text.size() == kJobIdLength &&
+         text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+void Answer(const transport::RpcReply& reply, ResultCode code) {
+  if (code == ResultCode::kNotLeader || code == ResultCode::kOutcomeUnknown) {
+    return reply(Fail(code, ""));
+  }
+  reply(wire::Encode(Done{static_cast<std::int32_t>(code)}));
+}
+
+void AnswerJob(const transport::RpcReply& reply, ResultCode code, JobAnswer answer = {}) {
+  if (code == ResultCode::kNotLeader || code == ResultCode::kOutcomeUnknown) {
+    return reply(Fail(code, ""));
+  }
+  answer.code = static_cast<std::int32_t>(code);
+  reply(wire::Encode(answer));
+}
+
+}  // namespace
+
+struct CellCore::Timers {
+  explicit Timers(boost::asio::io_context& io) : tick(io), pump(io) {}
+  boost::asio::steady_timer tick;
+  boost::asio::steady_timer pump;
+};
+
+CellCore::CellCore(boost::asio::io_context& io, CoreSettings settings, Peers& peers,
+                   WorkerPort& workers, AdvisorPort& advisor, std::function<void()> on_disk_failure)
+    : io_(io),
+      settings_(std::move(settings)),
+      peers_(peers),
+      workers_(workers),
+      advisor_(advisor),
+      coordinator_(
+          std::make_unique<dispatch::Coordinator>(book_, *this, clock_, &UnixNow, RandomNumber())),
+      timers_(std::make_unique<Timers>(io)) {
+  raft::GroupSetup setup;
+  setup.name = "cell";
+  setup.node = settings_.node;
+  setup.folder = settings_.data_folder + "/cell";
+  setup.segment_bytes = kSegmentBytes;
+  setup.options.raft.heartbeat = kRaftHeartbeat;
+  setup.options.raft.election_timeout_min = kElectionMin;
+  setup.options.raft.election_timeout_max = kElectionMax;
+  setup.options.raft.compaction_threshold_bytes = kCompactionBytes;
+  setup.options.raft.lost_replicas = raft::LostReplicaPolicy::kAdmitNew;
+  setup.options.initial_voters = settings_.seeds;
+  setup.options.may_bootstrap = settings_.first_start;
+  setup.on_failure = [on_disk_failure = std::move(on_disk_failure)](const Error& error) {
+    Event("storage_failed", Severity::kError)
+        .With("code", static_cast<int>(error.code))
+        .With("reason", error.message);
+    on_disk_failure();
+  };
+  group_ = std::make_unique<raft::RaftGroup>(io_, std::move(setup), *this, peers_);
+}
+
+CellCore::~CellCore() = default;
+
+template <typename Message>
+void CellCore::Handle(transport::RpcServer& server, const char* method,
+                      void (CellCore::*handler)(const Message&, const Reply&)) {
+  server.Handle(method, [this, handler](const transport::RpcRequest& call, const Reply& reply) {
+    const auto message = wire::Decode<Message>(call.body);
+    if (!message) return reply(tl::make_unexpected(message.error()));
+    if (!coordinator_->Leads()) {
+      // The name of the leader tells the caller where to go.
+      return reply(Fail(ResultCode::kNotLeader, group_->Leader().value()));
+    }
+    (this->*handler)(*message, reply);
+  });
+}
+
+void CellCore::Register(transport::RpcServer& server) {
+  Handle(server, kJobMethod, &CellCore::OnJob);
+  Handle(server, kPresenceMethod, &CellCore::OnPresence);
+  Handle(server, kReportMethod, &CellCore::OnReport);
+  Handle(server, kLeaveMethod, &CellCore::OnLeave);
+  Handle(server, kPutConfigMethod, &CellCore::OnPutConfig);
+  Handle(server, kGetConfigMethod, &CellCore::OnGetConfig);
+  server.Handle(kRaftMethod, [this](const transport::RpcRequest& call, const Reply& reply) {
+    auto envelope = wire::Decode<RaftEnvelope>(call.body);
+    if (!envelope) return reply(tl::make_unexpected(envelope.error()));
+    group_->Receive(envelope->from, std::move(envelope->message));
+    reply(std::string());
+  });
+}
+
+Result<void> CellCore::Start() {
+  auto started = group_->Start();
+  if (started) ArmTick();
+  return started;
+}
+
+void CellCore::Stop(std::function<void()> done) {
+  timers_->tick.cancel();
+  group_->Stop([this, done = std::move(done)] {
+    coordinator_->Resign();
+    done();
+  });
+}
+
+void CellCore::ArmTick() {
+  timers_->tick.expires_after(coordinator_->Leads() ? kTickInterval : kTickInterval * 10);
+  timers_->tick.async_wait([this](const boost::system::error_code& ec) {
+    if (ec) return;
+    coordinator_->Tick();
+    ArmTick();
+  });
+}
+
+void CellCore::WantPump() {
+  if (std::exchange(pump_wanted_, true)) return;
+  timers_->pump.expires_after(kPumpDelay);
+  timers_->pump.async_wait([this](const boost::system::error_code& ec) {
+    pump_wanted_ = false;
+    if (!ec) coordinator_->Pump();
+  });
+}
+
+void CellCore::Apply(LogIndex index, std::string_view command) {
+  const auto batch = wire::Decode<job::CommandBatch>(command);
+  if (!batch) {
+    Event("command_unreadable", Severity::kError)
+        .With("index", index)
+        .With("reason", batch.error().message);
+    return;
+  }
+  const job::BookChanges changes = book_.Apply(*batch);
+  coordinator_->OnApplied(*batch, changes);
+}
+
+std::string CellCore::TakeSnapshot() { return book_.TakeSnapshot(); }
+
+Result<void> CellCore::Restore(std::string_view snapshot) { return book_.Restore(snapshot); }
+
+void CellCore::OnRoleChange(raft::Role role, Term term) {
+  Event("role").With("role", static_cast<int>(role)).With("term", term);
+  if (role == raft::Role::kLeader) {
+    coordinator_->Lead(dispatch::Fence(term.value()));
+  } else {
+    coordinator_->Resign();
+  }
+}
+
+bool CellCore::Propose(const job::CommandBatch& batch) {
+  return group_->Propose(wire::Encode(batch)).has_value();
+}
+
+void CellCore::SendStart(const dispatch::StartOrder& order) {
+  workers_.Start(order, [this, order](const dispatch::OrderReply& reply) {
+    coordinator_->OnStartReply(order, reply);
+  });
+}
+
+void CellCore::SendStop(const dispatch::StopOrder& order) {
+  workers_.Stop(order, [this, order](const dispatch::OrderReply& reply) {
+    coordinator_->OnStopReply(order, reply);
+  });
+}
+
+void CellCore::SendHold(const dispatch::HoldOrder& order) {
+  workers_.Hold(order, [this, order](const dispatch::HoldReply& reply) {
+    coordinator_->OnHoldReply(order, reply);
+  });
+}
+
+void CellCore::AskAdvice(const NodeId& caller, const dispatch::AdviceQuery& query) {
+  const auto done = [this, caller, query](const dispatch::AdviceReply& reply) {
+    coordinator_->OnAdvice(caller, query, reply);
+  };
+  if (caller == peers_.self()) return advisor_.Ask(query, done);
+  peers_.Client(caller).Call(kAdviseMethod, wire::Encode(query), kAdviceTimeout,
+                             [done, caller](const Result<std::string>& result) {
+                               const auto reply = result
+                                                      ? wire::Decode<dispatch::AdviceReply>(*result)
+                                                      : tl::make_unexpected(result.error());
+                               if (!reply) {
+                                 Event("advice_failed", Severity::kWarning)
+                                     .With("caller", caller)
+                                     .With("reason", reply.error().message);
+                               }
+                               done(reply.value_or(dispatch::AdviceReply()));
+                             });
+}
+
+void CellCore::OnJob(const JobCall& call, const Reply& reply) {
+  const job::CellConfig& config = book_.config();
+  if (config.version == job::ConfigVersion()) return AnswerJob(reply, ResultCode::kNoLeader);
+  const job::QueueSettings* queue = config.FindByPath(call.host, call.path);
+  const std::string rest = queue == nullptr ? "" : call.path.substr(queue->path_prefix.size());
+  if (queue == nullptr || (!rest.empty() && !IsJobId(rest)) ||
+      (rest.empty() && call.verb != JobVerb::kState)) {
+    // The queue may have been added by another leader; only a leader may say that there is none.
+    return coordinator_->Confirm([reply](ResultCode code) {
+      AnswerJob(reply, code == ResultCode::kOk ? ResultCode::kNotFound : code);
+    });
+  }
+  if (rest.empty()) {
+    JobAnswer answer;
+    answer.is_queue = 1;
+    answer.pending = book_.PendingCount(queue->id);
+    return AnswerJob(reply, ResultCode::kOk, answer);
+  }
+  const job::JobId id(rest);
+  if (call.verb == JobVerb::kSubmit) return OnSubmit(*queue, id, call, reply);
+  if (call.verb == JobVerb::kCancel) return OnCancel(id, reply);
+  OnState(id, reply);
+}
+
+void CellCore::OnSubmit(const job::QueueSettings& queue, const job::JobId& id, const JobCall& call,
+                        const Reply& reply) {
+  const auto spec = wire::Decode<job::JobSpec>(call.spec);
+  if (!spec) return reply(tl::make_unexpected(spec.error()));
+  coordinator_->Submit(id, queue, *spec, [reply](const dispatch::SubmitAnswer& answer) {
+    JobAnswer out;
+    out.retry_after = answer.retry_after;
+    AnswerJob(reply, answer.code, out);
+  });
+}
+
+void CellCore::OnState(const job::JobId& id, const Reply& reply) {
+  const job::Job* job = book_.Find(id);
+  JobAnswer answer;
+  if (job != nullptr) {
+    answer.phase = job->phase;
+    return AnswerJob(reply, ResultCode::kOk, answer);
+  }
+  coordinator_->Confirm([this, id, reply](ResultCode code) {
+    if (code != ResultCode::kOk) return AnswerJob(reply, code);
+    // It may have been accepted meanwhile.
+    const job::Job* found = book_.Find(id);
+    JobAnswer late;
+    if (found != nullptr) late.phase = found->phase;
+    AnswerJob(reply, found == nullptr ? ResultCode::kJobUnknown : ResultCode::kOk, late);
+  });
+}
+
+void CellCore::OnCancel(const job::JobId& id, const Reply& reply) {
+  coordinator_->Cancel(id, [reply](ResultCode code) {
+    AnswerJob(reply, code == ResultCode::kNotFound ? ResultCode::kJobUnknown : code);
+  });
+}
+
+void CellCore::OnPresence(const Presence& presence, const Reply& reply) {
+  coordinator_->NoteCaller(presence.node);
+  CellView view;
+  view.leader = peers_.self();
+  for (const raft::Member& it : group_->Status().configuration.members) {
+    view.members.push_back(it.replica.node);
+  }
+  reply(wire::Encode(view));
+}
+
+void CellCore::OnReport(const job::WorkerReport& report, const Reply& reply) {
+  coordinator_->OnReport(report, [reply](ResultCode code) { Answer(reply, code); });
+}
+
+void CellCore::OnLeave(const Leave& leave, const Reply& reply) {
+  coordinator_->OnLeave(leave.worker, [reply](ResultCode code) { Answer(reply, code); });
+}
+
+void CellCore::OnPutConfig(const job::CellConfig& config, const Reply& reply) {
+  coordinator_->PutConfig(config, [reply](ResultCode code) { Answer(reply, code); });
+}
+
+void CellCore::OnGetConfig(const ConfigQuery& /*query*/, const Reply& reply) {
+  coordinator_->Confirm([this, reply](ResultCode code) {
+    if (code != ResultCode::kOk) return reply(Fail(code, ""));
+    ConfigAnswer answer;
+    answer.document = book_.config().document;
+    if (answer.document.empty()) answer.code = static_cast<std::int32_t>(ResultCode::kNoLeader);
+    reply(wire::Encode(answer));
+  });
+}
+
+}  // namespace parsleyline::cell
--- /dev/null
+++ b/src/cell/cell_core.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/cell_client.h"
+#include "cell/messages.h"
+#include "cell/peers.h"
+#include "cell/worker_port.h"
+#include "dispatch/coordinator.h"
+#include "job/job_book.h"
+#include "raft/raft_group.h"
+#include "transport/rpc.h"
+
+namespace parsleyline::cell {
+
+/// Settings of a process that replicates the state of the cell.
+struct CoreSettings {
+  NodeId node;
+  std::string data_folder;
+  /// Processes that form the first group, or that know the group later.
+  std::vector<NodeId> seeds;
+  /// True only when the whole cell starts for the first time.
+  bool first_start = false;
+};
+
+/// One replica of the cell's log, with the coordinator that works while it leads. All methods and
+/// callbacks run on the one thread of the io_context.
+class CellCore : public raft::StateMachine, public dispatch::Outbox {
+ public:
+  CellCore(boost::asio::io_context& io, CoreSettings settings, Peers& peers, WorkerPort& workers,
+           AdvisorPort& advisor, std::function<void()> on_disk_failure);
+  ~CellCore() override;
+
+  /// Registers the RPC methods; call before the server listens.
+  void Register(transport::RpcServer& server);
+  Result<void> Start();
+  /// Hands leadership over and stops.
+  void Stop(std::function<void()> done);
+
+  bool Leads() const { return coordinator_->Leads(); }
+  dispatch::Coordinator::Counts counts() const { return coordinator_->counts(); }
+  const job::JobBook& book() const { return book_; }
+
+  // raft::StateMachine
+  void Apply(LogIndex index, std::string_view command) override;
+  std::string TakeSnapshot() override;
+  Result<void> Restore(std::string_view snapshot) override;
+  void OnRoleChange(raft::Role role, Term term) override;
+
+  // dispatch::Outbox
+  void SendStart(const dispatch::StartOrder& order) override;
+  void SendStop(const dispatch::StopOrder& order) override;
+  void SendHold(const dispatch::HoldOrder& order) override;
+  void AskAdvice(const NodeId& caller, const dispatch::AdviceQuery& query) override;
+  bool Propose(const job::CommandBatch& batch) override;
+  void WantPump() override;
+
+ private:
+  using Reply = transport::RpcReply;
+  template <typename Message>
+  void Handle(transport::RpcServer& server, const char* method,
+              void (CellCore::*handler)(const Message&, const Reply&));
+  void OnJob(const JobCall& call, const Reply& reply);
+  void OnSubmit(const job::QueueSettings& queue, const job::JobId& id, const JobCall& call,
+                const Reply& reply);
+  void OnState(const job::JobId& id, const Reply& reply);
+  void OnCancel(const job::JobId& id, const Reply& reply);
+  void OnPresence(const Presence& presence, const Reply& reply);
+  void OnReport(const job::WorkerReport& report, const Reply& reply);
+  void OnLeave(const Leave& leave, const Reply& reply);
+  void OnPutConfig(const job::CellConfig& config, const Reply& reply);
+  void OnGetConfig(const ConfigQuery& query, const Reply& reply);
+  void ArmTick();
+
+  struct Timers;
+  boost::asio::io_context& io_;
+  const CoreSettings settings_;
+  Peers& peers_;
+  WorkerPort& workers_;
+  AdvisorPort& advisor_;
+  const SteadyClock clock_;
+  job::JobBook book_;
+  std::unique_ptr<dispatch::Coordinator> coordinator_;
+  std::unique_ptr<raft::RaftGroup> group_;
+  std::unique_ptr<Timers> timers_;
+  bool pump_wanted_ = false;
+};
+
+}  // namespace parsleyline::cell
--- /dev/null
+++ b/src/dispatch/coordinator.cpp
@@ -0,0 +1,248 @@
+#include "dispatch/coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "dispatch/step_work.h"
+
+namespace parsleyline::dispatch {
+namespace {
+
+// Batches that may be on their way at once. More would only wait for the same sync.
+constexpr std::size_t kMaxBatchesInFlight = 4;
+// A process that can call the advisor reports every second; after this time it counts as gone.
+constexpr Milliseconds kCallerSilence{3500};
+// Callers learn the state of an ended job for this long. A little over the promised 120 s.
+constexpr Milliseconds kEndedRetention{130'000};
+constexpr Milliseconds kCheckInterval{100};
+
+}  // namespace
+
+const char* Name(OrderOutcome outcome) {
+  constexpr const char* kNames[] = {"accepted", "fenced",     "old_run",   "late",
+                                    "no_room",  "bad_ticket", "unhealthy", "other_lifetime",
+                                    "invalid",  "not_sent",   "unknown"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
+Coordinator::Coordinator(const job::JobBook& book, Outbox& outbox, const Clock& clock,
+                         ReadUnixTime unix_time, std::uint64_t proposer)
+    : book_(book),
+      outbox_(outbox),
+      clock_(clock),
+      unix_time_(std::move(unix_time)),
+      proposer_(proposer) {}
+
+Coordinator::~Coordinator() = default;
+
+void Coordinator::Lead(Fence fence) {
+  Resign();
+  leads_ = true;
+  fence_ = fence;
+  led_since_ = clock_.Now();
+  for (const auto& [id, report] : book_.roster()) {
+    Worker* worker = fleet_.Note(report, led_since_).worker;
+    if (worker != nullptr) worker->clock.AssumeLeaseAt(led_since_);
+  }
+  for (const auto& [key, open] : book_.open_runs()) Adopt(open);
+  for (const auto& [id, job] : book_.jobs()) {
+    if (job.HasEnded()) {
+      ended_at_[id] = led_since_;
+    } else {
+      RefreshJob(id);
+    }
+  }
+  Event("lead")
+      .With("fence", fence)
+      .With("workers", fleet_.workers().size())
+      .With("open_runs", book_.open_runs().size())
+      .With("waiting_steps", waiting_.size())
+      .With("config_version", book_.config().version);
+  Pump();
+}
+
+void Coordinator::Resign() {
+  if (leads_) Event("resign").With("fence", fence_).With("batches_unknown", in_flight_.size());
+  leads_ = false;
+  fleet_.Clear();
+  run_index_.clear();
+  waiting_.clear();
+  ended_at_.clear();
+  timed_jobs_.clear();
+  prepared_.clear();
+  for (auto& [caller, state] : callers_) state.busy_with.reset();
+  batch_ = {};
+  std::vector<Durable> unknown = std::move(batch_waiters_);
+  batch_waiters_.clear();
+  for (auto& [ticket, waiters] : in_flight_) {
+    std::move(waiters.begin(), waiters.end(), std::back_inserter(unknown));
+  }
+  in_flight_.clear();
+  submitting_.clear();
+  for (const Durable& it : unknown) it(ResultCode::kOutcomeUnknown);
+}
+
+void Coordinator::WhenDurable(Durable done) {
+  batch_waiters_.push_back(std::move(done));
+  outbox_.WantPump();
+}
+
+void Coordinator::Propose() {
+  if (!leads_ || in_flight_.size() >= kMaxBatchesInFlight) return;
+  if (batch_.IsEmpty() && batch_waiters_.empty()) return;
+  batch_.ticket = next_ticket_++;
+  batch_.proposer = proposer_;
+  job::CommandBatch batch = std::exchange(batch_, {});
+  in_flight_[batch.ticket] = std::exchange(batch_waiters_, {});
+  if (!outbox_.Propose(batch)) {
+    Event("proposal_refused", Severity::kWarning).With("ticket", batch.ticket);
+    Resign();
+  }
+}
+
+void Coordinator::OnApplied(const job::CommandBatch& batch, const job::BookChanges& changes) {
+  if (!leads_) return;
+  const bool own = batch.proposer == proposer_ && in_flight_.contains(batch.ticket);
+  std::set<job::JobId> touched(changes.accepted.begin(), changes.accepted.end());
+  for (const job::EndRecord& it : changes.ends) {
+    ForgetRun({it.task, it.run});
+    touched.insert(it.task.step.job);
+  }
+  for (const job::StartRecord& it : changes.starts) touched.insert(it.task.step.job);
+  for (const job::StartRecord& it : changes.void_starts) {
+    touched.insert(it.task.step.job);
+    ForgetRun({it.task, it.run});
+  }
+  for (const auto* list : {&changes.ended, &changes.cancelled}) {
+    for (const job::JobId& it : *list) {
+      Event("job_ended").With("job", it).With("phase", job::Name(book_.Find(it)->phase));
+      ended_at_[it] = clock_.Now();
+      MarkJobUnwanted(it);
+      touched.insert(it);
+    }
+  }
+  if (changes.config_changed) {
+    Event("config_in_force")
+        .With("version", book_.config().version)
+        .With("queues", book_.config().queues.size());
+  }
+  if (own) {
+    for (const job::StartRecord& it : changes.starts) SendStart(it);
+  }
+  for (const job::JobId& it : touched) RefreshJob(it);
+  if (own) {
+    const std::vector<Durable> waiters = std::move(in_flight_.extract(batch.ticket).mapped());
+    for (const Durable& it : waiters) it(ResultCode::kOk);
+  }
+  outbox_.WantPump();
+}
+
+void Coordinator::NoteCaller(const NodeId& caller) { callers_[caller].last_seen = clock_.Now(); }
+
+void Coordinator::Submit(const job::JobId& id, const job::QueueSettings& queue,
+                         const job::JobSpec& spec, SubmitDone done) {
+  if (book_.Find(id) != nullptr) return done({});
+  if (const auto it = submitting_.find(id); it != submitting_.end()) {
+    it->second.push_back(std::move(done));
+    return;
+  }
+  const Duration chain = WholeChain(spec, queue);
+  const Duration objective = Objective(spec, queue);
+  if (!spec.IsTimed()) {
+    const Admission admission = Admit(backlog_, queue.priority, chain, objective);
+    if (!admission.accepted) {
+      ++counts_.rejected;
+      Event("job_rejected")
+          .With("job", id)
+          .With("queue", queue.id)
+          .With("wait_ms", admission.expected_wait / Milliseconds(1))
+          .With("slack_ms", (objective - chain) / Milliseconds(1))
+          .With("retry_after_ms", admission.retry_after.count());
+      return done({ResultCode::kWaitTooLong, admission.retry_after});
+    }
+    backlog_.Add(queue.priority, WorkOf(spec));
+  }
+  ++counts_.accepted;
+  Event("job_accepted")
+      .With("job", id)
+      .With("queue", queue.id)
+      .With("config_version", book_.config().version)
+      .With("steps", spec.steps.size())
+      .With("objective_ms", objective / Milliseconds(1));
+  submitting_[id].push_back(std::move(done));
+  batch_.submits.push_back({id, queue.id, spec, unix_time_()});
+  WhenDurable([this, id](ResultCode code) {
+    auto node = submitting_.extract(id);
+    if (node.empty()) return;
+    for (const SubmitDone& it : node.mapped()) it({code, Milliseconds(0)});
+  });
+}
+
+void Coordinator::Cancel(const job::JobId& id, Durable done) {
+  const job::Job* job = book_.Find(id);
+  if (job == nullptr && !submitting_.contains(id)) {
+    return WhenDurable([done = std::move(done)](ResultCode code) {
+      done(code == ResultCode::kOk ? ResultCode::kNotFound : code);
+    });
+  }
+  if (job != nullptr && job->HasEnded()) return done(ResultCode::kOk);
+  Event("job_cancelled").With("job", id);
+  batch_.cancels.push_back({id});
+  WhenDurable(std::move(done));
+}
+
+void Coordinator::PutConfig(const job::CellConfig& config, Durable done) {
+  if (config.version <= book_.config().version) return Confirm(std::move(done));
+  // A batch carries one configuration. The highest version is the one that would win anyway.
+  if (config.version > batch_.config.version) batch_.config = config;
+  WhenDurable(std::move(done));
+}
+
+void Coordinator::Confirm(Durable done) { WhenDurable(std::move(done)); }
+
+void Coordinator::Pump() {
+  if (!leads_) return;
+  SendDueStops();
+  Schedule();
+  Propose();
+  SendDueHolds();
+}
+
+void Coordinator::Tick() {
+  if (!leads_) return;
+  const TimePoint now = clock_.Now();
+  if (now >= next_check_) {
+    next_check_ = now + kCheckInterval;
+    CheckWorkers();
+    ForgetOldJobs();
+    RefreshTimedJobs();
+    UpdateBacklog();
+    std::erase_if(callers_, [now](const auto& it) {
+      return now - it.second.last_seen > kCallerSilence && !it.second.busy_with;
+    });
+  }
+  Pump();
+}
+
+void Coordinator::ForgetOldJobs() {
+  const TimePoint now = clock_.Now();
+  for (auto it = ended_at_.begin(); it != ended_at_.end();) {
+    if (now - it->second < kEndedRetention) {
+      ++it;
+      continue;
+    }
+    batch_.forget.jobs.push_back(it->first);
+    it = ended_at_.erase(it);
+  }
+}
+
+Coordinator::Counts Coordinator::counts() const {
+  Counts counts = counts_;
+  counts.workers = fleet_.workers().size();
+  counts.waiting_steps = waiting_.size();
+  counts.runs = run_index_.size();
+  return counts;
+}
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/coordinator.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/result_code.h"
+#include "dispatch/advice_table.h"
+#include "dispatch/door.h"
+#include "dispatch/fleet.h"
+#include "dispatch/messages.h"
+#include "dispatch/placer.h"
+#include "dispatch/urgency.h"
+#include "job/job_book.h"
+
+namespace parsleyline::dispatch {
+
+/// Answer to a job that was handed in.
+struct SubmitAnswer {
+  /// kOk: accepted and stored. 2xxx: rejected, it never runs. 3001: unknown, ask again.
+  ResultCode code = ResultCode::kOk;
+  Milliseconds retry_after{0};
+};
+
+/// The time of day, for times that must survive a change of leader.
+using ReadUnixTime = std::function<job::UnixMillis()>;
+
+/// Schedules the jobs of a cell while this process leads the replicated log. Free of I/O: events
+/// come in through the methods, orders go out through the Outbox. Not thread-safe.
+///
+/// An order to start a task is durable before it is sent, and the end of a run is durable before
+/// the worker may forget it. A run whose order was not answered stays charged until the worker's
+/// list, a stop, or the end of its lease shows what became of it.
+class Coordinator {
+ public:
+  using SubmitDone = std::function<void(SubmitAnswer)>;
+  /// Called with kOk once an event is durable, or with the reason why that is not known.
+  using Durable = std::function<void(ResultCode)>;
+
+  Coordinator(const job::JobBook& book, Outbox& outbox, const Clock& clock, ReadUnixTime unix_time,
+              std::uint64_t proposer);
+  ~Coordinator();
+
+  /// Begins to lead. The book holds all that earlier leaders recorded.
+  void Lead(Fence fence);
+  /// Ends leading; whoever waits for something durable learns that the outcome is unknown.
+  void Resign();
+  bool Leads() const { return leads_; }
+
+  /// Takes the changes of a batch that the book has applied.
+  void OnApplied(const job::CommandBatch& batch, const job::BookChanges& changes);
+
+  /// A worker has reported. `done` is called once the report has its effect.
+  void OnReport(const WorkerReport& report, Durable done);
+  /// A worker leaves and has ended all its runs.
+  void OnLeave(const WorkerId& worker, Durable done);
+  void OnStartReply(const StartOrder& order, const OrderReply& reply);
+  void OnStopReply(const StopOrder& order, const OrderReply& reply);
+  void OnHoldReply(const HoldOrder& order, const HoldReply& reply);
+  void OnAdvice(const NodeId& caller, const AdviceQuery& query, const AdviceReply& reply);
+  /// Notes a process that can call the advisor.
+  void NoteCaller(const NodeId& caller);
+
+  void Submit(const job::JobId& id, const job::QueueSettings& queue, const job::JobSpec& spec,
+              SubmitDone done);
+  void Cancel(const job::JobId& id, Durable done);
+  void PutConfig(const job::CellConfig& config, Durable done);
+  /// Calls `done` with kOk if this process still led after the call; proves that the book holds
+  /// everything that was acknowledged before.
+  void Confirm(Durable done);
+
+  /// Places waiting work and proposes what has gathered.
+  void Pump();
+  /// Does what is due at `Clock::Now()`. To be called about every 20 ms.
+  void Tick();
+
+  /// Numbers for metrics.
+  struct Counts {
+    std::size_t workers = 0;
+    std::size_t waiting_steps = 0;
+    std::size_t runs = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t accepted = 0;
+    std::uint64_t rejected = 0;
+    std::uint64_t advice_calls = 0;
+  };
+  Counts counts() const;
+
+ private:
+  struct StepWork;
+  struct PassState;
+
+  // Workers and runs.
+  void Adopt(const job::OpenRun& open);
+  void EndLifetime(Worker worker, const char* reason);
+  void SendDueHolds();
+  void SendDueStops();
+  void CheckWorkers();
+  void Reconcile(Worker* worker, const HoldReply& reply, std::uint64_t hold);
+  void NoteEnds(Worker* worker, const std::vector<ListedEnd>& finished);
+  void NoteActive(Worker* worker, const ActiveRun& active, std::uint64_t hold);
+  void RecordEnd(const job::RunKey& key, job::RunEnd end, const std::string& checkpoint);
+  void MarkLost(Run* run, const char* reason);
+  void MarkUnwanted(const job::StepKey& step, job::RunNumber run);
+  void MarkJobUnwanted(const job::JobId& job);
+  void NoteHealth(Worker* worker, const job::RunKey& key, job::RunEnd end);
+  void Quarantine(Worker* worker, const char* reason);
+  Run* FindRun(const job::RunKey& key, Worker** worker);
+  void SendStart(const job::StartRecord& record);
+  void ForgetRun(const job::RunKey& key);
+
+  // Waiting work.
+  void RefreshJob(const job::JobId& id);
+  void RefreshStep(const job::Job& job, const job::QueueSettings& queue, const job::StepKey& key);
+  bool IsReady(const job::Job& job, const job::StepKey& key) const;
+  void RefreshTimedJobs();
+  void UpdateBacklog();
+  void Schedule();
+  void ScheduleStep(StepWork* work, PassState* pass);
+  void ScheduleTasks(StepWork* work, PassState* pass);
+  void ScheduleGang(StepWork* work, PassState* pass);
+  enum class TicketRule { kValidTicket, kApproved, kNotRefused };
+  std::vector<Candidate> Candidates(const StepWork& work, const PassState& pass,
+                                    TicketRule rule) const;
+  void ReserveRoom(StepWork* work, const std::vector<Candidate>& approved, PassState* pass);
+  void Ask(StepWork* work, std::vector<const Worker*> workers, PassState* pass);
+  void AskAboutRoom(StepWork* work, std::uint32_t tasks, PassState* pass);
+  std::vector<std::uint32_t> WaitingTasks(const StepWork& work) const;
+  std::map<WorkerId, std::uint32_t> RunningByWorker(const job::StepKey& step) const;
+  bool IsAnyRunOpen(const job::StepKey& step) const;
+  void StartTask(StepWork* work, const job::RunKey& key, const std::string& checkpoint,
+                 const WorkerId& worker, PassState* pass);
+  void ForgetOldJobs();
+  void Propose();
+  void WhenDurable(Durable done);
+
+  const job::JobBook& book_;
+  Outbox& outbox_;
+  const Clock& clock_;
+  const ReadUnixTime unix_time_;
+  const std::uint64_t proposer_;
+
+  bool leads_ = false;
+  Fence fence_;
+  Fleet fleet_;
+  std::map<job::RunKey, WorkerId> run_index_;
+  std::map<job::StepKey, std::unique_ptr<StepWork>> waiting_;
+  /// Processes that can call the advisor: the step that each is busy with, and when it reported.
+  struct Caller {
+    TimePoint last_seen;
+    std::optional<job::StepKey> busy_with;
+    TimePoint busy_since;
+    std::vector<job::WorkerLifetime> asked;
+  };
+  std::map<NodeId, Caller> callers_;
+  std::map<job::JobId, std::vector<SubmitDone>> submitting_;
+  Backlog backlog_;
+  TimePoint backlog_at_;
+  std::map<job::JobId, TimePoint> ended_at_;
+  /// Jobs with occurrences that are not due yet.
+  std::set<job::JobId> timed_jobs_;
+  TimePoint next_check_;
+  TimePoint led_since_;
+
+  job::CommandBatch batch_;
+  std::vector<Durable> batch_waiters_;
+  std::map<std::uint64_t, std::vector<Durable>> in_flight_;
+  std::uint64_t next_ticket_ = 1;
+  /// Start orders by run, kept until the record of the start is durable.
+  std::map<job::RunKey, StartOrder> prepared_;
+  Counts counts_;
+};
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -0,0 +1,390 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "dispatch/coordinator.h"
+#include "dispatch/step_work.h"
+
+// The part of the coordinator that decides which waiting tasks start where.
+namespace parsleyline::dispatch {
+namespace {
+
+// Workers that one call of the advisor may name.
+constexpr std::size_t kMaxWorkersPerCall = 100;
+// The advisor usually approves about this share of the workers, in thousandths. Used for the
+// number of workers to name before anything is known about a step.
+constexpr std::size_t kUsualApprovalPermille = 400;
+constexpr std::size_t kPermille = 1000;
+constexpr std::size_t kMinWorkersPerCall = 6;
+// Calls that take longer than this leave some callers free for short ones.
+constexpr Milliseconds kLongCall{300};
+constexpr std::size_t kCallersForShortCalls = 3;
+// A caller that has not answered after this time is asked again.
+constexpr Milliseconds kCallerTimeout{5000};
+constexpr Milliseconds kAskRetry{200};
+// Gangs that may keep room free at once, and the longest time that room is kept for.
+constexpr std::size_t kMaxReservations = 3;
+constexpr Milliseconds kReservationHorizon{4000};
+// Tickets for a reserved gang are fetched so that they arrive about when the room does.
+constexpr Milliseconds kTicketLead{200};
+
+}  // namespace
+
+bool Coordinator::IsReady(const job::Job& job, const job::StepKey& key) const {
+  const job::OccurrenceState& occurrence = job.occurrences[key.occurrence];
+  if (occurrence.steps[key.step].Waiting() == 0) return false;
+  if (job.spec.IsTimed() && job.spec.DueTime(key.occurrence) > unix_time_()) return false;
+  const auto& depends_on = job.spec.steps[key.step].depends_on;
+  return std::all_of(depends_on.begin(), depends_on.end(), [&occurrence](std::uint32_t it) {
+    return it < occurrence.steps.size() && occurrence.steps[it].IsDone();
+  });
+}
+
+void Coordinator::RefreshJob(const job::JobId& id) {
+  const job::Job* job = book_.Find(id);
+  const job::QueueSettings* queue =
+      job == nullptr || job->HasEnded() ? nullptr : book_.config().Find(job->queue);
+  if (queue == nullptr) {
+    timed_jobs_.erase(id);
+    auto it = waiting_.lower_bound({id, 0, 0});
+    while (it != waiting_.end() && it->first.job == id) it = waiting_.erase(it);
+    return;
+  }
+  if (job->spec.IsTimed()) timed_jobs_.insert(id);
+  for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+    for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
+      RefreshStep(*job, *queue, {id, k, s});
+    }
+  }
+}
+
+void Coordinator::RefreshStep(const job::Job& job, const job::QueueSettings& queue,
+                              const job::StepKey& key) {
+  if (!IsReady(job, key)) {
+    waiting_.erase(key);
+    return;
+  }
+  auto& work = waiting_[key];
+  if (work != nullptr) return;
+  work = std::make_unique<StepWork>();
+  work->key = key;
+  work->queue = queue.id;
+  work->priority = queue.priority;
+  const job::UnixMillis begin =
+      job.spec.IsTimed() ? job.spec.DueTime(key.occurrence) : job.accepted_at;
+  const Milliseconds age(std::max<std::int64_t>(unix_time_().value() - begin.value(), 0));
+  work->accepted = clock_.Now() - age;
+  work->objective = Objective(job.spec, queue);
+}
+
+void Coordinator::RefreshTimedJobs() {
+  const std::set<job::JobId> timed = timed_jobs_;
+  for (const job::JobId& it : timed) RefreshJob(it);
+}
+
+void Coordinator::UpdateBacklog() {
+  const TimePoint now = clock_.Now();
+  backlog_ = {};
+  for (const auto& [id, worker] : fleet_.workers()) {
+    if (worker.TakesWork(now)) backlog_.capacity_millis += worker.report.capacity.cpu.count();
+  }
+  const job::UnixMillis unix_now = unix_time_();
+  for (const auto& [id, job] : book_.jobs()) {
+    if (job.HasEnded() || job.spec.IsTimed()) continue;
+    const job::QueueSettings* queue = book_.config().Find(job.queue);
+    if (queue == nullptr) continue;
+    const Duration age = Milliseconds(unix_now.value() - job.accepted_at.value());
+    const Urgency urgency =
+        UrgencyOf(now, now - age, Objective(job.spec, *queue),
+                  RemainingChain(job.spec, job.occurrences.front(), *queue), queue->priority);
+    // Work that is late already starts only on room that nothing else wants.
+    if (urgency.prospect != Prospect::kInTime) continue;
+    for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+      const job::StepSpec& step = job.spec.steps[i];
+      const std::int64_t waiting = job.occurrences.front().steps[i].Waiting();
+      backlog_.Add(queue->priority, waiting * step.demand.cpu.count() * step.estimate.count() /
+                                        static_cast<std::int64_t>(kPermille));
+    }
+  }
+}
+
+void Coordinator::Schedule() {
+  if (waiting_.empty()) return;
+  PassState pass;
+  pass.now = clock_.Now();
+  pass.config = &book_.config();
+  for (const auto& [id, worker] : fleet_.workers()) {
+    if (worker.TakesWork(pass.now)) pass.rooms[id] = {&worker, worker.Free(), false};
+  }
+  if (pass.rooms.empty()) return;
+  for (auto& [id, caller] : callers_) {
+    if (caller.busy_with && pass.now - caller.busy_since > kCallerTimeout) {
+      if (const auto it = waiting_.find(*caller.busy_with); it != waiting_.end()) {
+        it->second->asking = false;
+      }
+      caller.busy_with.reset();
+    }
+    if (!caller.busy_with && pass.now - caller.last_seen < kCallerTimeout) {
+      pass.idle_callers.push_back(id);
+    }
+  }
+  std::vector<std::pair<Urgency, StepWork*>> order;
+  order.reserve(waiting_.size());
+  for (const auto& [key, work] : waiting_) {
+    const job::Job* job = book_.Find(key.job);
+    const job::QueueSettings* queue = pass.config->Find(work->queue);
+    if (job == nullptr || queue == nullptr) continue;
+    const Duration remaining = RemainingChain(job->spec, job->occurrences[key.occurrence], *queue);
+    order.emplace_back(
+        UrgencyOf(pass.now, work->accepted, work->objective, remaining, queue->priority),
+        work.get());
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : a.second->key < b.second->key;
+  });
+  for (const auto& [urgency, work] : order) ScheduleStep(work, &pass);
+}
+
+void Coordinator::ScheduleStep(StepWork* work, PassState* pass) {
+  const job::Job* job = book_.Find(work->key.job);
+  const job::StepSpec& step = job->spec.steps[work->key.step];
+  if (step.Has(job::StepFlag::kGang)) {
+    ScheduleGang(work, pass);
+  } else {
+    ScheduleTasks(work, pass);
+  }
+}
+
+std::vector<std::uint32_t> Coordinator::WaitingTasks(const StepWork& work) const {
+  const job::StepState& step = *book_.FindStep(work.key);
+  std::vector<std::uint32_t> tasks;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].phase != job::TaskPhase::kWaiting) continue;
+    const job::RunNumber next(step.tasks[i].run.value() + 1);
+    if (!run_index_.contains({{work.key, i}, next})) tasks.push_back(i);
+  }
+  return tasks;
+}
+
+std::map<WorkerId, std::uint32_t> Coordinator::RunningByWorker(const job::StepKey& step) const {
+  std::map<WorkerId, std::uint32_t> running;
+  for (auto it = run_index_.lower_bound({{step, 0}, job::RunNumber()});
+       it != run_index_.end() && it->first.task.step == step; ++it) {
+    ++running[it->second];
+  }
+  return running;
+}
+
+bool Coordinator::IsAnyRunOpen(const job::StepKey& step) const {
+  const auto it = run_index_.lower_bound({{step, 0}, job::RunNumber()});
+  return it != run_index_.end() && it->first.task.step == step;
+}
+
+std::vector<Candidate> Coordinator::Candidates(const StepWork& work, const PassState& pass,
+                                               TicketRule rule) const {
+  const job::StepSpec& step = book_.Find(work.key.job)->spec.steps[work.key.step];
+  const job::QueueSettings& queue = *pass.config->Find(work.queue);
+  const auto running =
+      step.max_per_worker > 0 ? RunningByWorker(work.key) : std::map<WorkerId, std::uint32_t>();
+  std::vector<Candidate> candidates;
+  for (const auto& [id, room] : pass.rooms) {
+    const WorkerReport& report = room.worker->report;
+    if (room.withheld || report.pool != queue.pool) continue;
+    if (!step.required_label.empty() && !room.worker->HasLabel(step.required_label)) continue;
+    if (queue.needs_ticket != 0) {
+      const auto verdict = work.advice.VerdictOf(report.lifetime);
+      if (verdict == StepAdvice::Verdict::kRefused) continue;
+      if (rule != TicketRule::kNotRefused && verdict != StepAdvice::Verdict::kApproved) continue;
+      const bool needs_valid = rule == TicketRule::kValidTicket;
+      if (needs_valid && work.advice.TicketFor(report.lifetime, pass.now).empty()) continue;
+    }
+    const auto count = running.find(id);
+    candidates.push_back({room.worker, room.free, count == running.end() ? 0 : count->second});
+  }
+  return candidates;
+}
+
+void Coordinator::ScheduleTasks(StepWork* work, PassState* pass) {
+  const std::vector<std::uint32_t> tasks = WaitingTasks(*work);
+  if (tasks.empty()) return;
+  const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
+  const auto chosen = PlaceTasks(step, static_cast<std::uint32_t>(tasks.size()),
+                                 Candidates(*work, *pass, TicketRule::kValidTicket));
+  const job::StepState& state = *book_.FindStep(work->key);
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    const job::TaskState& task = state.tasks[tasks[i]];
+    StartTask(work, {{work->key, tasks[i]}, job::RunNumber(task.run.value() + 1)}, task.checkpoint,
+              chosen[i], pass);
+  }
+  if (chosen.size() == tasks.size()) return;
+  if (pass->config->Find(work->queue)->needs_ticket == 0) return;
+  AskAboutRoom(work, static_cast<std::uint32_t>(tasks.size() - chosen.size()), pass);
+}
+
+void Coordinator::AskAboutRoom(StepWork* work, std::uint32_t tasks, PassState* pass) {
+  if (work->asking || pass->now < work->next_ask || pass->idle_callers.empty()) return;
+  const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
+  std::vector<Candidate> candidates = Candidates(*work, *pass, TicketRule::kNotRefused);
+  std::erase_if(candidates, [&](const Candidate& it) {
+    return FitCount(step, it) == 0 ||
+           !work->advice.TicketFor(it.worker->report.lifetime, pass->now).empty();
+  });
+  const auto is_approved = [work](const Candidate& it) {
+    return work->advice.VerdictOf(it.worker->report.lifetime) == StepAdvice::Verdict::kApproved;
+  };
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&](const Candidate& a, const Candidate& b) {
+                     if (is_approved(a) != is_approved(b)) return is_approved(a);
+                     return a.room.cpu > b.room.cpu;
+                   });
+  std::vector<const Worker*> named;
+  std::size_t expected_permille = 0;
+  for (const Candidate& it : candidates) {
+    const std::size_t fits = std::min(FitCount(step, it), tasks);
+    const bool enough = expected_permille >= tasks * kPermille;
+    if (enough && (is_approved(it) || named.size() >= kMinWorkersPerCall)) break;
+    expected_permille += fits * (is_approved(it) ? kPermille : kUsualApprovalPermille);
+    named.push_back(it.worker);
+  }
+  Ask(work, std::move(named), pass);
+}
+
+void Coordinator::Ask(StepWork* work, std::vector<const Worker*> workers, PassState* pass) {
+  if (work->asking || pass->now < work->next_ask || workers.empty()) return;
+  if (workers.size() > kMaxWorkersPerCall) workers.resize(kMaxWorkersPerCall);
+  const job::QueueSettings& queue = *pass->config->Find(work->queue);
+  const Duration time = AdviceTime(queue.advisor, static_cast<std::int64_t>(workers.size()));
+  const std::size_t kept =
+      time > kLongCall ? std::min(kCallersForShortCalls, callers_.size() - 1) : 0;
+  if (pass->idle_callers.size() <= kept) return;
+  const NodeId caller = pass->idle_callers.back();
+  pass->idle_callers.pop_back();
+  AdviceQuery query{work->key, {}};
+  Caller& state = callers_[caller];
+  state.busy_with = work->key;
+  state.busy_since = pass->now;
+  state.asked.clear();
+  for (const Worker* it : workers) {
+    query.workers.push_back(it->id());
+    state.asked.push_back(it->report.lifetime);
+  }
+  work->asking = true;
+  ++counts_.advice_calls;
+  outbox_.AskAdvice(caller, query);
+}
+
+void Coordinator::OnAdvice(const NodeId& caller, const AdviceQuery& query,
+                           const AdviceReply& reply) {
+  Caller& state = callers_[caller];
+  const bool expected = state.busy_with && *state.busy_with == query.step;
+  if (!expected) return;
+  state.busy_with.reset();
+  const auto it = waiting_.find(query.step);
+  if (!leads_ || it == waiting_.end()) return;
+  StepWork& work = *it->second;
+  work.asking = false;
+  work.advice.Note(state.asked, reply, clock_.Now());
+  if (reply.answered == 0) work.next_ask = clock_.Now() + kAskRetry;
+  Event("advice")
+      .With("step", query.step)
+      .With("caller", caller)
+      .With("asked", query.workers.size())
+      .With("approved", reply.approvals.size())
+      .With("answered", reply.answered);
+  outbox_.WantPump();
+}
+
+void Coordinator::ScheduleGang(StepWork* work, PassState* pass) {
+  // A gang starts again only when every run of the one before is settled.
+  if (IsAnyRunOpen(work->key)) return;
+  const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
+  const job::QueueSettings& queue = *pass->config->Find(work->queue);
+  if (queue.needs_ticket != 0 && work->advice.KnownCount() == 0) {
+    std::vector<const Worker*> all;
+    for (const Candidate& it : Candidates(*work, *pass, TicketRule::kNotRefused)) {
+      const Candidate empty{it.worker, it.worker->report.capacity, 0};
+      if (FitCount(step, empty) > 0) all.push_back(it.worker);
+    }
+    return Ask(work, std::move(all), pass);
+  }
+  const std::vector<Candidate> approved = Candidates(*work, *pass, TicketRule::kApproved);
+  const std::vector<WorkerId> chosen = PlaceGang(step, approved);
+  if (chosen.empty()) return ReserveRoom(work, approved, pass);
+  std::vector<const Worker*> without_ticket;
+  for (const WorkerId& it : std::set<WorkerId>(chosen.begin(), chosen.end())) {
+    const Worker* worker = pass->rooms[it].worker;
+    const bool has = !work->advice.TicketFor(worker->report.lifetime, pass->now).empty();
+    if (queue.needs_ticket != 0 && !has) without_ticket.push_back(worker);
+  }
+  if (!without_ticket.empty()) {
+    for (const WorkerId& it : chosen) pass->rooms[it].free -= step.demand;
+    return Ask(work, std::move(without_ticket), pass);
+  }
+  const job::StepState& state = *book_.FindStep(work->key);
+  const auto saved = std::find_if(state.tasks.begin(), state.tasks.end(),
+                                  [](const job::TaskState& it) { return !it.checkpoint.empty(); });
+  const std::string checkpoint = saved == state.tasks.end() ? std::string() : saved->checkpoint;
+  const job::RunNumber run(state.gang_run.value() + 1);
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    StartTask(work, {{work->key, i}, run}, checkpoint, chosen[i], pass);
+  }
+}
+
+void Coordinator::ReserveRoom(StepWork* work, const std::vector<Candidate>& approved,
+                              PassState* pass) {
+  if (pass->gangs_waiting >= kMaxReservations) return;
+  const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
+  const job::QueueSettings& queue = *pass->config->Find(work->queue);
+  std::map<WorkerId, std::vector<std::pair<Duration, Resources>>> ends_in;
+  for (const Candidate& it : approved) {
+    auto& ends = ends_in[it.worker->id()];
+    for (const auto& [key, run] : it.worker->runs) {
+      ends.emplace_back(run.ExpectedRest(pass->now), run.demand);
+    }
+    std::sort(ends.begin(), ends.end());
+  }
+  const auto reservation = ReserveForGang(step, approved, ends_in, kReservationHorizon);
+  if (!reservation) return;
+  ++pass->gangs_waiting;
+  std::vector<const Worker*> without_ticket;
+  for (const WorkerId& it : reservation->workers) {
+    pass->rooms[it].withheld = true;
+    const Worker* worker = pass->rooms[it].worker;
+    if (work->advice.TicketFor(worker->report.lifetime, pass->now).empty()) {
+      without_ticket.push_back(worker);
+    }
+  }
+  if (queue.needs_ticket == 0) return;
+  const Duration time = AdviceTime(queue.advisor, static_cast<std::int64_t>(without_ticket.size()));
+  if (reservation->wait <= time + kTicketLead) Ask(work, std::move(without_ticket), pass);
+}
+
+void Coordinator::StartTask(StepWork* work, const job::RunKey& key, const std::string& checkpoint,
+                            const WorkerId& worker_id, PassState* pass) {
+  Worker* worker = fleet_.Find(worker_id);
+  const job::Job* job = book_.Find(work->key.job);
+  const job::StepSpec& step = job->spec.steps[work->key.step];
+  Run& run = fleet_.Add(worker, key, step.demand, step.flags);
+  run.phase = RunPhase::kProposed;
+  run.estimate = step.estimate;
+  run.ordered_at = pass->now;
+  run_index_[key] = worker_id;
+  pass->rooms[worker_id].free = worker->Free();
+  StartOrder order;
+  order.to = worker->Address();
+  order.run = key;
+  order.payload = job->spec.payload;
+  order.checkpoint = checkpoint;
+  order.ticket = work->advice.TicketFor(worker->report.lifetime, pass->now);
+  order.fence = fence_;
+  prepared_[key] = std::move(order);
+  batch_.starts.push_back({key.task, key.run, worker->report.lifetime});
+  Event("start")
+      .With("run", key.task)
+      .With("number", key.run)
+      .With("worker", worker_id)
+      .With("free_cpu", worker->Free().cpu.count())
+      .With("waited_ms", (pass->now - work->accepted) / Milliseconds(1));
+}
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/fleet.cpp
@@ -0,0 +1,122 @@
+#include "dispatch/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleyline::dispatch {
+namespace {
+
+// A worker that has neither reported nor answered for this long gets no new tasks. A little over
+// two of the intervals at which workers report, so that one lost report does not matter.
+constexpr Milliseconds kSilence{3500};
+// Holds in a row without an answer after which a worker gets no new tasks.
+constexpr std::uint32_t kMaxFailedHolds = 1;
+
+// Progress below this says too little about the speed of a run.
+constexpr std::uint32_t kMinPercent = 10;
+// A run that has outlived its estimate is expected to end after this time.
+constexpr Milliseconds kOverdueRest{200};
+
+}  // namespace
+
+Duration Run::ExpectedRest(TimePoint now) const {
+  const Duration age = now - ordered_at;
+  const Duration rest = percent >= kMinPercent
+                            ? age * (100 - std::min<std::uint32_t>(percent, 100)) / percent
+                            : estimate - age;
+  return std::max<Duration>(rest, percent >= kMinPercent ? Duration(0) : kOverdueRest);
+}
+
+bool Worker::HasLabel(const std::string& label) const {
+  return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
+}
+
+bool Worker::TakesWork(TimePoint now) const {
+  if (!reconciled || draining || now < quarantined_until) return false;
+  return failed_holds < kMaxFailedHolds && now - std::max(last_report, last_answer) < kSilence;
+}
+
+Fleet::Noted Fleet::Note(const WorkerReport& report, TimePoint now) {
+  Noted noted;
+  const auto same_name = workers_.find(report.lifetime.worker);
+  if (same_name != workers_.end()) {
+    Worker& known = same_name->second;
+    if (report.lifetime.born < known.report.lifetime.born) {
+      noted.current = false;
+      return noted;
+    }
+    if (report.lifetime == known.report.lifetime) {
+      known.last_report = now;
+      noted.worker = &known;
+      // A late report must not undo a newer one, in particular not that a worker is draining.
+      if (report.sequence <= known.report.sequence) return noted;
+      known.report = report;
+      known.draining = known.draining || report.state == WorkerState::kDraining;
+      return noted;
+    }
+    noted.ended.push_back(std::move(known));
+    workers_.erase(same_name);
+  }
+  // Another worker at the same address proves that the older of the two has ended.
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    if (it->second.report.address != report.address) {
+      ++it;
+      continue;
+    }
+    if (it->second.report.lifetime.born > report.lifetime.born) {
+      noted.current = false;
+      return noted;
+    }
+    noted.ended.push_back(std::move(it->second));
+    it = workers_.erase(it);
+  }
+  Worker& worker = workers_[report.lifetime.worker];
+  worker.report = report;
+  worker.last_report = now;
+  worker.draining = report.state == WorkerState::kDraining;
+  noted.worker = &worker;
+  return noted;
+}
+
+std::optional<Worker> Fleet::Remove(const WorkerId& id) {
+  const auto it = workers_.find(id);
+  if (it == workers_.end()) return std::nullopt;
+  Worker worker = std::move(it->second);
+  workers_.erase(it);
+  return worker;
+}
+
+Worker* Fleet::Find(const WorkerId& id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+const Worker* Fleet::Find(const WorkerId& id) const {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+Run& Fleet::Add(Worker* worker, const job::RunKey& key, const Resources& demand,
+                std::uint32_t flags) {
+  const auto [it, added] = worker->runs.try_emplace(key);
+  if (added) {
+    it->second.key = key;
+    it->second.demand = demand;
+    it->second.flags = flags;
+    // The processor time of a task that fills gaps is not counted against the capacity.
+    if ((flags & static_cast<std::uint32_t>(job::StepFlag::kFillsIdle)) != 0) {
+      it->second.demand.cpu = MilliCpu(0);
+    }
+    worker->charged += it->second.demand;
+  }
+  return it->second;
+}
+
+void Fleet::Release(Worker* worker, const job::RunKey& key) {
+  const auto it = worker->runs.find(key);
+  if (it == worker->runs.end()) return;
+  worker->charged -= it->second.demand;
+  worker->runs.erase(it);
+}
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/lease_clock.cpp
@@ -0,0 +1,42 @@
+#include "dispatch/lease_clock.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace parsleyline::dispatch {
+namespace {
+
+constexpr std::int64_t kPermille = 1000;
+
+// Time after which `span` has passed on the slowest permitted clock.
+Duration OnSlowestClock(Duration span) {
+  return span * kPermille / (kPermille - kSlowClockPermille);
+}
+
+}  // namespace
+
+void LeaseClock::Read(WorkerMillis reading, TimePoint received) {
+  if (has_reading_ && reading < reading_) return;
+  has_reading_ = true;
+  reading_ = reading;
+  received_ = received;
+}
+
+WorkerMillis LeaseClock::GiveLease(TimePoint now) {
+  if (!has_reading_) return WorkerMillis();
+  const auto passed = std::chrono::duration_cast<Milliseconds>(now - received_);
+  const WorkerMillis end(reading_.value() + (passed + kLease).count());
+  longest_ = std::max(longest_, end);
+  return end;
+}
+
+bool LeaseClock::HasLapsed(TimePoint now) const {
+  if (assumed_at_ != TimePoint() && now < assumed_at_ + OnSlowestClock(kLease) + kLeaseMargin) {
+    return false;
+  }
+  if (!has_reading_) return true;
+  const Milliseconds left(longest_.value() - reading_.value());
+  return now >= received_ + OnSlowestClock(std::max(left, Milliseconds(0))) + kLeaseMargin;
+}
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/placer.cpp
@@ -0,0 +1,119 @@
+#include "dispatch/placer.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace parsleyline::dispatch {
+namespace {
+
+constexpr std::uint32_t kUnlimited = std::numeric_limits<std::uint32_t>::max();
+
+std::uint32_t Ratio(std::int64_t room, std::int64_t demand) {
+  if (demand <= 0) return kUnlimited;
+  return room <= 0 ? 0 : static_cast<std::uint32_t>(room / demand);
+}
+
+// Thousandths of the worker that stay free in its fullest resource, after one more task.
+std::int64_t Leftover(const job::StepSpec& step, const Candidate& candidate) {
+  const auto share = [](std::int64_t left, std::int64_t whole) {
+    return whole <= 0 ? 0 : left * 1000 / whole;
+  };
+  const Resources left = candidate.room - step.demand;
+  const Resources& whole = candidate.worker->report.capacity;
+  return std::min(share(left.cpu.count(), whole.cpu.count()),
+                  share(left.memory.count(), whole.memory.count()));
+}
+
+bool IsNearData(const job::StepSpec& step, const Candidate& candidate) {
+  return step.data_rack.empty() || candidate.worker->report.rack.value() == step.data_rack;
+}
+
+}  // namespace
+
+std::uint32_t FitCount(const job::StepSpec& step, const Candidate& candidate) {
+  std::uint32_t count =
+      std::min({Ratio(candidate.room.cpu.count(), step.demand.cpu.count()),
+                Ratio(candidate.room.memory.count(), step.demand.memory.count()),
+                Ratio(candidate.room.accelerators.count(), step.demand.accelerators.count())});
+  if (step.max_per_worker > 0) {
+    const std::uint32_t left =
+        step.max_per_worker > candidate.running ? step.max_per_worker - candidate.running : 0;
+    count = std::min(count, left);
+  }
+  return count;
+}
+
+std::vector<WorkerId> PlaceTasks(const job::StepSpec& step, std::uint32_t tasks,
+                                 std::vector<Candidate> candidates) {
+  std::vector<WorkerId> chosen;
+  std::erase_if(candidates, [&step](const Candidate& it) { return FitCount(step, it) == 0; });
+  while (chosen.size() < tasks && !candidates.empty()) {
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(), [&step](const Candidate& a, const Candidate& b) {
+          const bool a_far = !IsNearData(step, a);
+          const bool b_far = !IsNearData(step, b);
+          return std::pair(a_far, Leftover(step, a)) < std::pair(b_far, Leftover(step, b));
+        });
+    // The tightest worker takes tasks until it is full.
+    while (chosen.size() < tasks && FitCount(step, *best) > 0) {
+      chosen.push_back(best->worker->id());
+      best->room -= step.demand;
+      ++best->running;
+    }
+    candidates.erase(best);
+  }
+  return chosen;
+}
+
+std::vector<WorkerId> PlaceGang(const job::StepSpec& step,
+                                const std::vector<Candidate>& candidates) {
+  if (step.Has(job::StepFlag::kSameRack)) {
+    std::map<RackId, std::vector<Candidate>> racks;
+    for (const Candidate& it : candidates) racks[it.worker->report.rack].push_back(it);
+    for (const auto& [rack, members] : racks) {
+      auto chosen = PlaceTasks(step, step.tasks, members);
+      if (chosen.size() == step.tasks) return chosen;
+    }
+  }
+  auto chosen = PlaceTasks(step, step.tasks, candidates);
+  if (chosen.size() < step.tasks) chosen.clear();
+  return chosen;
+}
+
+std::optional<GangReservation> ReserveForGang(
+    const job::StepSpec& step, const std::vector<Candidate>& candidates,
+    const std::map<WorkerId, std::vector<std::pair<Duration, Resources>>>& ends_in,
+    Duration horizon) {
+  // Times at which a worker can hold one more task of the gang.
+  std::vector<std::pair<Duration, WorkerId>> openings;
+  for (const Candidate& it : candidates) {
+    Candidate later = it;
+    std::uint32_t fits = FitCount(step, later);
+    for (std::uint32_t i = 0; i < std::min(fits, step.tasks); ++i) {
+      openings.emplace_back(Duration(0), it.worker->id());
+    }
+    const auto ends = ends_in.find(it.worker->id());
+    if (ends == ends_in.end()) continue;
+    for (const auto& [end, resources] : ends->second) {
+      if (end > horizon) break;
+      later.room += resources;
+      const std::uint32_t now_fits = FitCount(step, later);
+      for (; fits < now_fits && fits < step.tasks; ++fits)
+        openings.emplace_back(end, it.worker->id());
+    }
+  }
+  if (openings.size() < step.tasks) return std::nullopt;
+  std::sort(openings.begin(), openings.end());
+  GangReservation reservation;
+  for (std::uint32_t i = 0; i < step.tasks; ++i) {
+    reservation.workers.push_back(openings[i].second);
+    reservation.wait = openings[i].first;
+  }
+  std::sort(reservation.workers.begin(), reservation.workers.end());
+  reservation.workers.erase(std::unique(reservation.workers.begin(), reservation.workers.end()),
+                            reservation.workers.end());
+  return reservation;
+}
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/step_work.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "dispatch/coordinator.h"
+
+namespace parsleyline::dispatch {
+
+/// A step that has tasks to start, as the leader sees it.
+struct Coordinator::StepWork {
+  job::StepKey key;
+  job::QueueId queue;
+  std::uint32_t priority = 0;
+  TimePoint accepted;
+  Duration objective{0};
+  StepAdvice advice;
+  bool asking = false;
+  TimePoint next_ask;
+  /// Workers whose room a gang waits for.
+  std::vector<WorkerId> reserved;
+};
+
+/// What one scheduling pass works with.
+struct Coordinator::PassState {
+  TimePoint now;
+  const job::CellConfig* config = nullptr;
+  /// Workers that take tasks, with the room that is left in this pass.
+  struct Room {
+    const Worker* worker = nullptr;
+    Resources free;
+    /// Kept for a gang that goes before all work that is scheduled later in this pass.
+    bool withheld = false;
+  };
+  std::map<WorkerId, Room> rooms;
+  std::size_t gangs_waiting = 0;
+  std::vector<NodeId> idle_callers;
+};
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/dispatch/urgency.cpp
@@ -0,0 +1,67 @@
+#include "dispatch/urgency.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace parsleyline::dispatch {
+namespace {
+
+constexpr std::int64_t kPermille = 1000;
+
+template <typename IsDone, typename Cost>
+Duration LongestChain(const job::JobSpec& spec, IsDone is_done, Cost cost) {
+  std::vector<Duration> ends(spec.steps.size(), Duration(0));
+  Duration longest(0);
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    Duration begin(0);
+    for (const std::uint32_t it : spec.steps[i].depends_on) {
+      if (it < i) begin = std::max(begin, ends[it]);
+    }
+    ends[i] = is_done(i) ? begin : begin + cost(i);
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+Duration StepTime(const job::StepSpec& step, const job::QueueSettings& queue) {
+  const Duration advice =
+      queue.needs_ticket != 0 ? AdviceTime(queue.advisor, kUsualAdviceWorkers) : Duration(0);
+  return step.estimate + advice;
+}
+
+}  // namespace
+
+Duration AdviceTime(const job::AdvisorSettings& advisor, std::int64_t workers) {
+  return Microseconds(advisor.decision_us + workers * advisor.per_worker_us);
+}
+
+Duration RemainingChain(const job::JobSpec& spec, const job::OccurrenceState& occurrence,
+                        const job::QueueSettings& queue) {
+  return LongestChain(
+      spec, [&occurrence](std::size_t i) { return occurrence.steps[i].IsDone(); },
+      [&spec, &occurrence, &queue](std::size_t i) {
+        const bool begun = occurrence.steps[i].Waiting() == 0;
+        return begun ? Duration(spec.steps[i].estimate) : StepTime(spec.steps[i], queue);
+      });
+}
+
+Duration WholeChain(const job::JobSpec& spec, const job::QueueSettings& queue) {
+  return LongestChain(
+      spec, [](std::size_t) { return false; },
+      [&spec, &queue](std::size_t i) { return StepTime(spec.steps[i], queue); });
+}
+
+Duration Objective(const job::JobSpec& spec, const job::QueueSettings& queue) {
+  return WholeChain(spec, queue) * queue.slack_permille / kPermille + queue.latency_target;
+}
+
+Urgency UrgencyOf(TimePoint now, TimePoint accepted, Duration objective, Duration remaining,
+                  std::uint32_t priority) {
+  const Duration slack = accepted + objective - now - remaining;
+  if (slack >= Duration(0)) return {Prospect::kInTime, priority, slack};
+  const Duration late_slack = accepted + kLateFactor * objective - now - remaining;
+  if (late_slack >= Duration(0)) return {Prospect::kLate, priority, late_slack};
+  return {Prospect::kLost, priority, -late_slack};
+}
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/src/job/job_book.cpp
@@ -0,0 +1,205 @@
+#include "job/job_book.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace parsleyline::job {
+
+const char* Name(JobPhase phase) {
+  constexpr const char* kNames[] = {"queued", "running", "complete", "failed", "cancelled"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+
+const char* Name(RunEnd end) {
+  constexpr const char* kNames[] = {"done",   "failed", "stopped", "lapsed",
+                                    "broken", "alone",  "lost"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+std::ostream& operator<<(std::ostream& out, const StepKey& key) {
+  return out << key.job << '.' << key.occurrence << '.' << key.step;
+}
+
+std::ostream& operator<<(std::ostream& out, const TaskKey& key) {
+  return out << key.step << '.' << key.index;
+}
+
+BookChanges JobBook::Apply(const CommandBatch& batch) {
+  BookChanges changes;
+  if (batch.config.version > config_.version) {
+    config_ = batch.config;
+    changes.config_changed = true;
+  }
+  for (const WorkerReport& it : batch.reports) ApplyReport(it);
+  for (const WorkerLifetime& it : batch.departures) {
+    const auto found = roster_.find(it.worker);
+    if (found != roster_.end() && found->second.lifetime == it) roster_.erase(found);
+  }
+  for (const SubmitRecord& it : batch.submits) ApplySubmit(it, &changes);
+  for (const EndRecord& it : batch.ends) ApplyEnd(it, &changes);
+  for (const CancelRecord& it : batch.cancels) ApplyCancel(it, &changes);
+  for (const StartRecord& it : batch.starts) ApplyStart(it, &changes);
+  for (const JobId& it : batch.forget.jobs) {
+    const auto found = jobs_.find(it);
+    if (found != jobs_.end() && found->second.HasEnded()) jobs_.erase(found);
+  }
+  return changes;
+}
+
+void JobBook::ApplyReport(const WorkerReport& report) {
+  WorkerReport& known = roster_[report.lifetime.worker];
+  if (report.lifetime.born < known.lifetime.born) return;
+  if (report.lifetime == known.lifetime && report.sequence < known.sequence) return;
+  // A worker never takes work again after it has said that it drains.
+  const bool drains = report.lifetime == known.lifetime && known.state == WorkerState::kDraining;
+  known = report;
+  if (drains) known.state = WorkerState::kDraining;
+}
+
+void JobBook::ApplySubmit(const SubmitRecord& record, BookChanges* changes) {
+  if (jobs_.contains(record.job)) return;
+  Job& job = jobs_[record.job];
+  job.id = record.job;
+  job.queue = record.queue;
+  job.spec = record.spec;
+  job.accepted_at = record.accepted_at;
+  job.occurrences.resize(record.spec.OccurrenceCount());
+  for (OccurrenceState& occurrence : job.occurrences) {
+    occurrence.steps.resize(record.spec.steps.size());
+    for (std::size_t i = 0; i < record.spec.steps.size(); ++i) {
+      occurrence.steps[i].tasks.resize(record.spec.steps[i].tasks);
+    }
+  }
+  if (!record.spec.IsTimed()) ++pending_[record.queue];
+  changes->accepted.push_back(record.job);
+}
+
+void JobBook::ApplyStart(const StartRecord& record, BookChanges* changes) {
+  const auto it = jobs_.find(record.task.step.job);
+  StepState* step = MutableStep(record.task.step);
+  const bool valid = it != jobs_.end() && !it->second.HasEnded() && step != nullptr &&
+                     record.task.index < step->tasks.size() &&
+                     step->tasks[record.task.index].phase == TaskPhase::kWaiting &&
+                     record.run > step->tasks[record.task.index].run;
+  if (!valid) {
+    changes->void_starts.push_back(record);
+    return;
+  }
+  Job& job = it->second;
+  TaskState& task = step->tasks[record.task.index];
+  task.phase = TaskPhase::kStarted;
+  task.run = record.run;
+  task.worker = record.worker;
+  ++step->started;
+  step->gang_run = std::max(step->gang_run, record.run);
+  if (job.phase == JobPhase::kQueued) {
+    job.phase = JobPhase::kRunning;
+    if (!job.spec.IsTimed()) --pending_[job.queue];
+  }
+  const StepSpec& spec = job.spec.steps[record.task.step.step];
+  open_runs_[{record.task, record.run}] = {record.task, record.run, record.worker, spec.demand,
+                                           spec.flags};
+  changes->starts.push_back(record);
+}
+
+void JobBook::ApplyEnd(const EndRecord& record, BookChanges* changes) {
+  changes->ends.push_back(record);
+  open_runs_.erase({record.task, record.run});
+  const auto it = jobs_.find(record.task.step.job);
+  StepState* step = MutableStep(record.task.step);
+  if (it == jobs_.end() || it->second.HasEnded() || step == nullptr) return;
+  if (record.task.index >= step->tasks.size()) return;
+  TaskState& task = step->tasks[record.task.index];
+  if (task.phase != TaskPhase::kStarted || task.run != record.run) return;
+  task.phase = TaskPhase::kWaiting;
+  --step->started;
+  if (!record.checkpoint.empty()) task.checkpoint = record.checkpoint;
+  const StepSpec& spec = it->second.spec.steps[record.task.step.step];
+  if (spec.Has(StepFlag::kLongRunning)) return;
+  if (record.end == RunEnd::kDone) FinishTask(&it->second, record, changes);
+  if (record.end == RunEnd::kFailed) FailTask(&it->second, record, changes);
+}
+
+void JobBook::FinishTask(Job* job, const EndRecord& record, BookChanges* changes) {
+  OccurrenceState& occurrence = job->occurrences[record.task.step.occurrence];
+  StepState& step = occurrence.steps[record.task.step.step];
+  if (job->spec.steps[record.task.step.step].Has(StepFlag::kGang)) {
+    // One end of a gang that is done stands for all of them.
+    for (TaskState& task : step.tasks) task.phase = TaskPhase::kDone;
+    step.done = static_cast<std::uint32_t>(step.tasks.size());
+    step.started = 0;
+  } else {
+    step.tasks[record.task.index].phase = TaskPhase::kDone;
+    ++step.done;
+  }
+  for (TaskState& task : step.tasks) {
+    if (task.phase == TaskPhase::kDone) task.checkpoint.clear();
+  }
+  const auto is_done = [](const OccurrenceState& it) {
+    return std::all_of(it.steps.begin(), it.steps.end(),
+                       [](const StepState& s) { return s.IsDone(); });
+  };
+  if (std::all_of(job->occurrences.begin(), job->occurrences.end(), is_done)) {
+    EndJob(job, JobPhase::kComplete, changes);
+  }
+}
+
+void JobBook::FailTask(Job* job, const EndRecord& record, BookChanges* changes) {
+  const QueueSettings* queue = config_.Find(job->queue);
+  const std::uint32_t attempts = queue == nullptr ? 1 : queue->attempts;
+  StepState& step = job->occurrences[record.task.step.occurrence].steps[record.task.step.step];
+  std::uint32_t failures = ++step.tasks[record.task.index].failures;
+  if (job->spec.steps[record.task.step.step].Has(StepFlag::kGang)) {
+    // Several members of one run may fail; the gang has failed once.
+    if (step.failed_run != record.run) ++step.gang_failures;
+    step.failed_run = record.run;
+    failures = step.gang_failures;
+  }
+  if (failures >= attempts) EndJob(job, JobPhase::kFailed, changes);
+}
+
+void JobBook::ApplyCancel(const CancelRecord& record, BookChanges* changes) {
+  const auto it = jobs_.find(record.job);
+  if (it == jobs_.end() || it->second.HasEnded()) return;
+  EndJob(&it->second, JobPhase::kCancelled, changes);
+}
+
+void JobBook::EndJob(Job* job, JobPhase phase, BookChanges* changes) {
+  if (job->phase == JobPhase::kQueued && !job->spec.IsTimed()) --pending_[job->queue];
+  job->phase = phase;
+  auto& list = phase == JobPhase::kCancelled ? changes->cancelled : changes->ended;
+  list.push_back(job->id);
+  job->spec = JobSpec();
+  job->occurrences.clear();
+  job->occurrences.shrink_to_fit();
+}
+
+const Job* JobBook::Find(const JobId& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+StepState* JobBook::MutableStep(const StepKey& key) {
+  return const_cast<StepState*>(std::as_const(*this).FindStep(key));
+}
+
+const StepState* JobBook::FindStep(const StepKey& key) const {
+  const auto it = jobs_.find(key.job);
+  if (it == jobs_.end() || key.occurrence >= it->second.occurrences.size()) return nullptr;
+  const auto& steps = it->second.occurrences[key.occurrence].steps;
+  return key.step < steps.size() ? &steps[key.step] : nullptr;
+}
+
+const TaskState* JobBook::FindTask(const TaskKey& key) const {
+  const StepState* step = FindStep(key.step);
+  return step != nullptr && key.index < step->tasks.size() ? &step->tasks[key.index] : nullptr;
+}
+
+std::uint64_t JobBook::PendingCount(const QueueId& queue) const {
+  const auto it = pending_.find(queue);
+  return it == pending_.end() ? 0 : it->second;
+}
+
+}  // namespace parsleyline::job
--- /dev/null
+++ b/src/job/job_codec.cpp
@@ -0,0 +1,51 @@
+#include "job/job_book.h"
+#include "wire/codec_impl.h"
+
+namespace parsleyline::job {
+
+/// The whole state of a JobBook.
+struct BookSnapshot {
+  CellConfig config;
+  std::vector<Job> jobs;
+  std::vector<OpenRun> open_runs;
+  std::vector<WorkerReport> roster;
+
+  auto Fields() { return std::tie(config, jobs, open_runs, roster); }
+};
+
+}  // namespace parsleyline::job
+
+PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::job::BookSnapshot);
+PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::job::CommandBatch);
+PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::job::JobSpec);
+
+namespace parsleyline::job {
+
+std::string JobBook::TakeSnapshot() const {
+  BookSnapshot snapshot{config_, {}, {}, {}};
+  snapshot.jobs.reserve(jobs_.size());
+  for (const auto& [id, job] : jobs_) snapshot.jobs.push_back(job);
+  for (const auto& [key, run] : open_runs_) snapshot.open_runs.push_back(run);
+  for (const auto& [id, report] : roster_) snapshot.roster.push_back(report);
+  return wire::Encode(snapshot);
+}
+
+Result<void> JobBook::Restore(std::string_view snapshot) {
+  auto decoded = wire::Decode<BookSnapshot>(snapshot);
+  if (!decoded) return tl::make_unexpected(decoded.error());
+  config_ = std::move(decoded->config);
+  jobs_.clear();
+  pending_.clear();
+  open_runs_.clear();
+  roster_.clear();
+  for (const WorkerReport& it : decoded->roster) roster_[it.lifetime.worker] = it;
+  for (const OpenRun& it : decoded->open_runs) open_runs_[{it.task, it.run}] = it;
+  for (Job& job : decoded->jobs) {
+    if (job.phase == JobPhase::kQueued && !job.spec.IsTimed()) ++pending_[job.queue];
+    const JobId id = job.id;
+    jobs_.emplace(id, std::move(job));
+  }
+  return {};
+}
+
+}  // namespace parsleyline::job
--- a/src/raft/raft_membership.cpp
+++ b/src/raft/raft_membership.cpp
@@ -74,7 +74,7 @@
 
 // Replaces replicas that came back under a new identity, one step at a time.
 void RaftNode::Impl::MaintainMembership() {
-  if (options.lost_replicas != LostReplicaPolicy::kReplace || transfer_target) return;
+  if (options.lost_replicas == LostReplicaPolicy::kManual || transfer_target) return;
   if (log.ConfigurationIndex() > commit || no_op_index > commit) return;
   const Configuration& configuration = log.CurrentConfiguration();
   std::erase_if(applicants, [&configuration](const auto& applicant) {
@@ -82,7 +82,7 @@
   });
   for (const auto& [node, replica] : applicants) {
     const bool expected =
-        configuration.HasNode(node) ||
+        options.lost_replicas == LostReplicaPolicy::kAdmitNew || configuration.HasNode(node) ||
         std::find(initial_voters.begin(), initial_voters.end(), node) != initial_voters.end();
     if (!expected) continue;
     ChangeMembership({MembershipChange::Kind::kAddLearner, replica});
@@ -146,6 +146,7 @@
 void RaftNode::Impl::Bootstrap() {
   const auto lowest = std::min_element(initial_voters.begin(), initial_voters.end());
   if (lowest == initial_voters.end() || *lowest != self.node || group_exists) return;
+  if (!may_bootstrap) return;
   Configuration configuration;
   for (const NodeId& node : initial_voters) {
     const auto it = blank_voters.find(node);
--- a/src/raft/raft_node.cpp
+++ b/src/raft/raft_node.cpp
@@ -11,6 +11,7 @@
                      TimePoint start)
     : options(node_options.raft),
       initial_voters(std::move(node_options.initial_voters)),
+      may_bootstrap(node_options.may_bootstrap),
       self(state.self),
       random(seed),
       now(start),
--- a/src/raft/raft_node_impl.h
+++ b/src/raft/raft_node_impl.h
@@ -128,6 +128,7 @@
 
   const RaftOptions options;
   const std::vector<NodeId> initial_voters;
+  const bool may_bootstrap;
   const ReplicaId self;
   std::mt19937_64 random;
   TimePoint now;
--- a/src/raft/raft_options.h
+++ b/src/raft/raft_options.h
@@ -31,6 +31,9 @@
   /// Adds it as a learner. Any learner that has caught up is promoted, after the replicas of the
   /// same name with another identity have been removed.
   kReplace,
+  /// As kReplace, and admits replicas of any name: for groups whose members are not listed
+  /// anywhere.
+  kAdmitNew,
 };
 
 /// Timings and limits of a replica.
@@ -62,6 +65,8 @@
   /// Voters of the group when it is bootstrapped. All of them must be running and without state
   /// for that; a replica that joins later asks them to be admitted.
   std::vector<NodeId> initial_voters;
+  /// False if the group is known to exist: a replica without state then waits to be admitted.
+  bool may_bootstrap = true;
 };
 
 }  // namespace parsleyline::raft
