--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -99,7 +99,7 @@
 
   // Workers and runs.
   void Adopt(const job::OpenRun& open);
-  void EndLifetime(Worker worker, const char* reason);
+  void EndLifetime(const Worker& worker, const char* reason);
   void SendDueHolds();
   void SendDueStops();
   void CheckWorkers();
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -51,7 +51,7 @@
   const bool known = before != nullptr && before->report.lifetime == report.lifetime;
   const bool drained_before = known && before->draining;
   Fleet::Noted noted = fleet_.Note(report, clock_.Now());
-  for (Worker& it : noted.ended) EndLifetime(std::move(it), "replaced");
+  for (const Worker& it : noted.ended) EndLifetime(it, "replaced");
   if (noted.worker == nullptr) {
     Event("report_outdated", Severity::kWarning).With("worker", report.lifetime.worker);
     return done(ResultCode::kOk);
@@ -74,18 +74,18 @@
   if (!leads_) return done(ResultCode::kNotLeader);
   auto worker = fleet_.Remove(id);
   if (!worker) return done(ResultCode::kOk);
-  EndLifetime(std::move(*worker), "left");
+  EndLifetime(*worker, "left");
   WhenDurable(std::move(done));
 }
 
-void Coordinator::EndLifetime(Worker worker, const char* reason) {
+void Coordinator::EndLifetime(const Worker& worker, const char* reason) {
   Event("worker_lifetime_ended")
       .With("worker", worker.id())
       .With("born", worker.report.lifetime.born)
       .With("reason", reason)
       .With("runs", worker.runs.size());
   batch_.departures.push_back(worker.report.lifetime);
-  for (auto& [key, run] : worker.runs) {
+  for (const auto& [key, run] : worker.runs) {
     run_index_.erase(key);
     prepared_.erase(key);
     // A proposed start has no record yet; sending it fails and settles it then.
@@ -104,7 +104,9 @@
       return it.second.phase == RunPhase::kStopped || it.second.phase == RunPhase::kDoubtful ||
              it.second.unwanted;
     });
-    HoldOrder order{worker.Address(), worker.clock.GiveLease(now), fence_, worker.recorded,
+    const WorkerMillis lease =
+        worker.failed_holds == 0 ? worker.clock.GiveLease(now) : worker.clock.GivenLease();
+    HoldOrder order{worker.Address(), lease, fence_, worker.recorded,
                     unsettled ? kShortHoldWait : kHoldWait};
     // The first hold only reads the lists and the clock.
     if (!worker.reconciled) order.wait = Milliseconds(0);
@@ -147,7 +149,7 @@
     const bool gone = now - std::max(worker.last_report, worker.last_answer) > kForgetSilent;
     if (gone && worker.runs.empty()) silent.push_back(id);
   }
-  for (const WorkerId& id : silent) EndLifetime(std::move(*fleet_.Remove(id)), "silent");
+  for (const WorkerId& id : silent) EndLifetime(*fleet_.Remove(id), "silent");
   for (auto& [id, worker] : fleet_.workers()) {
     for (auto& [key, run] : worker.runs) {
       const bool standing =
--- a/src/dispatch/lease_clock.h
+++ b/src/dispatch/lease_clock.h
@@ -24,6 +24,9 @@
   bool HasReading() const { return has_reading_; }
   /// Returns the end of a lease that begins now, and remembers it as given.
   WorkerMillis GiveLease(TimePoint now);
+  /// Returns the end of the longest lease that was given, without a new one. For a worker that does
+  /// not answer: attempts to reach it must not put off the end of its lease.
+  WorkerMillis GivenLease() const { return longest_; }
   /// Tells whether every lease has run out, even on the slowest permitted clock.
   bool HasLapsed(TimePoint now) const;
 
--- a/src/dispatch/placer.cpp
+++ b/src/dispatch/placer.cpp
@@ -99,8 +99,9 @@
       if (end > horizon) break;
       later.room += resources;
       const std::uint32_t now_fits = FitCount(step, later);
-      for (; fits < now_fits && fits < step.tasks; ++fits)
+      for (; fits < now_fits && fits < step.tasks; ++fits) {
         openings.emplace_back(end, it.worker->id());
+      }
     }
   }
   if (openings.size() < step.tasks) return std::nullopt;
--- /dev/null
+++ b/tests/dispatch/coordinator_fixture.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dispatch/coordinator.h"
+
+namespace parsleyline::dispatch {
+
+/// Keeps what the coordinator sends, and commits its batches when told to.
+class RecordingOutbox : public Outbox {
+ public:
+  void SendStart(const StartOrder& order) override { starts.push_back(order); }
+  void SendStop(const StopOrder& order) override { stops.push_back(order); }
+  void SendHold(const HoldOrder& order) override { holds[order.to.lifetime.worker] = order; }
+  void AskAdvice(const NodeId& caller, const AdviceQuery& query) override {
+    questions.emplace_back(caller, query);
+  }
+  bool Propose(const job::CommandBatch& batch) override {
+    batches.push_back(batch);
+    return true;
+  }
+  void WantPump() override { ++pumps_wanted; }
+
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::map<WorkerId, HoldOrder> holds;
+  std::vector<std::pair<NodeId, AdviceQuery>> questions;
+  std::deque<job::CommandBatch> batches;
+  int pumps_wanted = 0;
+};
+
+/// A coordinator with a book, a clock that stands still, and workers that answer when told to.
+class CoordinatorFixture : public CppUnit::TestFixture {
+ public:
+  void setUp() override {
+    clock_.Advance(Milliseconds(1'000'000));
+    book_ = std::make_unique<job::JobBook>();
+    outbox_ = std::make_unique<RecordingOutbox>();
+    coordinator_ = std::make_unique<Coordinator>(
+        *book_, *outbox_, clock_, [this] { return UnixNow(); }, 7);
+    coordinator_->Lead(Fence(1));
+    PutConfig(DefaultConfig());
+  }
+
+ protected:
+  job::UnixMillis UnixNow() const {
+    return job::UnixMillis(clock_.Now().time_since_epoch() / Milliseconds(1));
+  }
+
+  static job::QueueSettings Queue(const std::string& name, std::uint32_t priority) {
+    job::QueueSettings queue;
+    queue.id = job::QueueId(name);
+    queue.host = "h.example";
+    queue.path_prefix = "/" + name + "/";
+    queue.pool = job::PoolId("pool");
+    queue.priority = priority;
+    queue.attempts = 2;
+    queue.slack_permille = 2000;
+    queue.latency_target = Milliseconds(1000);
+    queue.call_timeout = Milliseconds(3000);
+    return queue;
+  }
+
+  static job::CellConfig DefaultConfig() {
+    job::CellConfig config;
+    config.version = job::ConfigVersion(1);
+    config.queues = {Queue("urgent", 0), Queue("batch", 2)};
+    config.pools = {{job::PoolId("pool"), 0, 0}};
+    return config;
+  }
+
+  void PutConfig(const job::CellConfig& config) {
+    coordinator_->PutConfig(config, [](ResultCode) {});
+    Commit();
+  }
+
+  /// Applies all proposed batches and lets the coordinator work until nothing is proposed.
+  void Commit() {
+    coordinator_->Pump();
+    while (!outbox_->batches.empty()) {
+      const job::CommandBatch batch = outbox_->batches.front();
+      outbox_->batches.pop_front();
+      coordinator_->OnApplied(batch, book_->Apply(batch));
+      coordinator_->Pump();
+    }
+  }
+
+  static WorkerReport Report(const std::string& name, std::int64_t cpu = 4000,
+                             std::int64_t born = 1) {
+    WorkerReport report;
+    report.lifetime = {WorkerId(name), job::UnixMillis(born)};
+    report.address = "10.0.0.1:" + std::to_string(1000 + std::hash<std::string>{}(name) % 9000);
+    report.pool = job::PoolId("pool");
+    report.capacity = {MilliCpu(cpu), Mebibytes(100'000), Accelerators(0), Slots(0)};
+    report.labels = {"a", "r1"};
+    report.rack = RackId("r1");
+    report.sequence = 1;
+    return report;
+  }
+
+  /// Announces a worker and answers its first hold, so that it takes work.
+  void AddWorker(const std::string& name, std::int64_t cpu = 4000, std::int64_t born = 1) {
+    coordinator_->OnReport(Report(name, cpu, born), [](ResultCode) {});
+    Commit();
+    AnswerHold(name, {}, {}, born);
+  }
+
+  void AnswerHold(const std::string& name, std::vector<ActiveRun> active = {},
+                  std::vector<ListedEnd> finished = {}, std::int64_t born = 1) {
+    const HoldOrder order = outbox_->holds.at(WorkerId(name));
+    HoldReply reply;
+    reply.outcome = OrderOutcome::kAccepted;
+    reply.born = job::UnixMillis(born);
+    reply.clock = WorkerMillis(UnixNow().value());
+    reply.active = std::move(active);
+    reply.finished = std::move(finished);
+    coordinator_->OnHoldReply(order, reply);
+    Commit();
+  }
+
+  void FailHold(const std::string& name) {
+    coordinator_->OnHoldReply(outbox_->holds.at(WorkerId(name)), HoldReply());
+    Commit();
+  }
+
+  static job::JobSpec Spec(std::uint32_t tasks, std::int64_t cpu, std::uint32_t flags = 0) {
+    job::JobSpec spec;
+    spec.payload = "payload";
+    job::StepSpec step;
+    step.tasks = tasks;
+    step.demand = {MilliCpu(cpu), Mebibytes(10), Accelerators(0), Slots(0)};
+    step.estimate = Milliseconds(1000);
+    step.flags = flags;
+    spec.steps.push_back(step);
+    return spec;
+  }
+
+  /// Hands in a job and returns the answer that it got once everything was committed.
+  ResultCode Submit(const std::string& id, const job::JobSpec& spec,
+                    const std::string& queue = "urgent") {
+    ResultCode code = ResultCode::kInternal;
+    coordinator_->Submit(job::JobId(id), *book_->config().Find(job::QueueId(queue)), spec,
+                         [&code](const SubmitAnswer& answer) { code = answer.code; });
+    Commit();
+    return code;
+  }
+
+  void Reply(const StartOrder& order, OrderOutcome outcome) {
+    coordinator_->OnStartReply(order, {outcome, WorkerMillis(UnixNow().value())});
+    Commit();
+  }
+
+  void Reply(const StopOrder& order, OrderOutcome outcome) {
+    coordinator_->OnStopReply(order, {outcome, WorkerMillis(UnixNow().value())});
+    Commit();
+  }
+
+  void Advance(std::int64_t ms) {
+    clock_.Advance(Milliseconds(ms));
+    coordinator_->Tick();
+    Commit();
+  }
+
+  static ListedEnd EndOf(const job::RunKey& run, job::RunEnd end, std::uint64_t number) {
+    ListedEnd listed;
+    listed.number = EndNumber(number);
+    listed.run = run;
+    listed.end = end;
+    return listed;
+  }
+
+  static ActiveRun ActiveOf(const job::RunKey& run, std::uint32_t percent = 0) {
+    ActiveRun active;
+    active.run = run;
+    active.percent = percent;
+    return active;
+  }
+
+  job::JobPhase PhaseOf(const std::string& id) const { return book_->Find(job::JobId(id))->phase; }
+
+  ManualClock clock_;
+  std::unique_ptr<job::JobBook> book_;
+  std::unique_ptr<RecordingOutbox> outbox_;
+  std::unique_ptr<Coordinator> coordinator_;
+};
+
+}  // namespace parsleyline::dispatch
--- /dev/null
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -0,0 +1,222 @@
+#include "tests/dispatch/coordinator_fixture.h"
+
+namespace parsleyline::dispatch {
+
+using job::JobPhase;
+using job::RunEnd;
+using job::StepFlag;
+
+constexpr auto kGang = static_cast<std::uint32_t>(StepFlag::kGang);
+
+/// What becomes of runs whose orders, answers or workers are lost.
+class CoordinatorRunsTest : public CoordinatorFixture {
+  CPPUNIT_TEST_SUITE(CoordinatorRunsTest);
+  CPPUNIT_TEST(Start_RecordNotDurable_IsNotSent);
+  CPPUNIT_TEST(End_RecordNotDurable_IsNotAcknowledged);
+  CPPUNIT_TEST(Start_Unanswered_IsStoppedBeforeItStartsAgain);
+  CPPUNIT_TEST(Start_UnansweredButListed_GoesOn);
+  CPPUNIT_TEST(Start_NeverSent_StartsAgainElsewhere);
+  CPPUNIT_TEST(Stop_ListSentBefore_ProvesNothing);
+  CPPUNIT_TEST(SilentWorker_LeaseNotOver_KeepsItsRuns);
+  CPPUNIT_TEST(NewLifetime_RunsOfTheOldOne_StartAgain);
+  CPPUNIT_TEST(NewLeader_WorkerNotRead_GetsNoStart);
+  CPPUNIT_TEST(NewLeader_RecordedStartNotListed_IsStoppedFirst);
+  CPPUNIT_TEST(DrainingWorker_WaitingTask_IsNotStartedThere);
+  CPPUNIT_TEST(Gang_RoomForPartOnly_StartsNothing);
+  CPPUNIT_TEST(Gang_MemberRefused_OthersAreStopped);
+  CPPUNIT_TEST(CancelledJob_ActiveRun_IsStopped);
+  CPPUNIT_TEST(UnknownRun_InList_IsStopped);
+  CPPUNIT_TEST(Standstill_NoProgress_IsStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a start that a new leader would not know of.
+  void Start_RecordNotDurable_IsNotSent() {
+    AddWorker("w1");
+    coordinator_->Submit(job::JobId("j"), *book_->config().Find(job::QueueId("urgent")),
+                         Spec(1, 1000), [](const SubmitAnswer&) {});
+    coordinator_->Pump();
+    const auto submit = outbox_->batches.front();
+    outbox_->batches.pop_front();
+    coordinator_->OnApplied(submit, book_->Apply(submit));
+    coordinator_->Pump();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->batches.front().starts.size());
+    CPPUNIT_ASSERT(outbox_->starts.empty());
+    Commit();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+  }
+
+  // Guards against an end that the worker forgets before the log knows it.
+  void End_RecordNotDurable_IsNotAcknowledged() {
+    const StartOrder order = StartOne("w1");
+    AnswerHold("w1", {ActiveOf(order.run)});
+    HoldReply reply;
+    reply.outcome = OrderOutcome::kAccepted;
+    reply.born = job::UnixMillis(1);
+    reply.clock = WorkerMillis(UnixNow().value());
+    reply.finished = {EndOf(order.run, RunEnd::kDone, 1)};
+    const HoldOrder hold = outbox_->holds.at(WorkerId("w1"));
+    outbox_->holds.clear();
+    coordinator_->OnHoldReply(hold, reply);
+    coordinator_->Pump();
+    CPPUNIT_ASSERT(outbox_->holds.empty());
+    Commit();
+    CPPUNIT_ASSERT(EndNumber(1) == outbox_->holds.at(WorkerId("w1")).acknowledged);
+    CPPUNIT_ASSERT(JobPhase::kComplete == PhaseOf("j"));
+  }
+
+  // Guards against two runs of a task when an order is carried out seconds later.
+  void Start_Unanswered_IsStoppedBeforeItStartsAgain() {
+    const StartOrder order = StartOne("w1");
+    AddWorker("w2");
+    Reply(order, OrderOutcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    Reply(outbox_->stops.front(), OrderOutcome::kAccepted);
+    AnswerHold("w1");  // Sent before the stop.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    AnswerHold("w1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->starts.back().run.run == job::RunNumber(2));
+  }
+
+  void Start_UnansweredButListed_GoesOn() {
+    const StartOrder order = StartOne("w1");
+    AnswerHold("w1", {ActiveOf(order.run)});
+    Reply(order, OrderOutcome::kUnknown);
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+  }
+
+  void Start_NeverSent_StartsAgainElsewhere() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kNotSent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+  }
+
+  // Guards against a list that was on its way while the stop overtook it.
+  void Stop_ListSentBefore_ProvesNothing() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    AnswerHold("w1");  // Sent before the start was confirmed: absence proves nothing.
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+  }
+
+  // Guards against a second run while a worker that is cut off still works on the first.
+  void SilentWorker_LeaseNotOver_KeepsItsRuns() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    AnswerHold("w1", {ActiveOf(order.run)});
+    AddWorker("w2");
+    FailHold("w1");
+    Advance(kLease.count() - 500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    Advance(1500);
+    coordinator_->OnReport(Report("w2"), [](ResultCode) {});
+    AnswerHold("w2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->starts.back().to.lifetime.worker == WorkerId("w2"));
+  }
+
+  void NewLifetime_RunsOfTheOldOne_StartAgain() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    AddWorker("w1", 4000, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->starts.back().to.lifetime.born == job::UnixMillis(2));
+  }
+
+  // Guards against starts on a worker whose room the new leader does not know.
+  void NewLeader_WorkerNotRead_GetsNoStart() {
+    AddWorker("w1");
+    coordinator_->Lead(Fence(2));
+    Submit("j", Spec(1, 1000));
+    CPPUNIT_ASSERT(outbox_->starts.empty());
+    AnswerHold("w1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->starts.front().fence == Fence(2));
+  }
+
+  // Guards against a second run when the order of the leader before is still under way.
+  void NewLeader_RecordedStartNotListed_IsStoppedFirst() {
+    StartOne("w1");
+    coordinator_->Lead(Fence(2));
+    Commit();
+    AnswerHold("w1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+  }
+
+  void DrainingWorker_WaitingTask_IsNotStartedThere() {
+    AddWorker("w1");
+    WorkerReport report = Report("w1");
+    report.state = WorkerState::kDraining;
+    report.sequence = 2;
+    coordinator_->OnReport(report, [](ResultCode) {});
+    Commit();
+    Submit("j", Spec(1, 1000));
+    CPPUNIT_ASSERT(outbox_->starts.empty());
+  }
+
+  // Guards against gang members that wait in vain for the others.
+  void Gang_RoomForPartOnly_StartsNothing() {
+    AddWorker("w1", 2000);
+    Submit("j", Spec(3, 1000, kGang));
+    CPPUNIT_ASSERT(outbox_->starts.empty());
+    AddWorker("w2", 2000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, outbox_->starts.size());
+    for (const StartOrder& it : outbox_->starts) CPPUNIT_ASSERT(it.run.run == job::RunNumber(1));
+  }
+
+  void Gang_MemberRefused_OthersAreStopped() {
+    AddWorker("w1", 2000);
+    Submit("j", Spec(2, 1000, kGang));
+    Reply(outbox_->starts[0], OrderOutcome::kAccepted);
+    Reply(outbox_->starts[1], OrderOutcome::kUnhealthy);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    CPPUNIT_ASSERT(outbox_->stops[0].run == outbox_->starts[0].run);
+  }
+
+  void CancelledJob_ActiveRun_IsStopped() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    ResultCode code = ResultCode::kInternal;
+    coordinator_->Cancel(job::JobId("j"), [&code](ResultCode result) { code = result; });
+    Commit();
+    CPPUNIT_ASSERT(code == ResultCode::kOk);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    CPPUNIT_ASSERT(JobPhase::kCancelled == PhaseOf("j"));
+  }
+
+  void UnknownRun_InList_IsStopped() {
+    AddWorker("w1");
+    const job::RunKey late{{{job::JobId("gone"), 0, 0}, 0}, job::RunNumber(1)};
+    AnswerHold("w1", {ActiveOf(late)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    CPPUNIT_ASSERT(outbox_->stops[0].run == late);
+  }
+
+  // Guards against tasks that stand still on a worker that answers as if all were well.
+  void Standstill_NoProgress_IsStopped() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    for (int i = 0; i < 6; ++i) {
+      AnswerHold("w1", {ActiveOf(order.run, 30)});
+      Advance(500);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+  }
+
+ private:
+  StartOrder StartOne(const std::string& worker) {
+    AddWorker(worker);
+    Submit("j", Spec(1, 1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    return outbox_->starts.front();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoordinatorRunsTest);
+
+}  // namespace parsleyline::dispatch
