Reopen the log after a disk failure instead of ending the process

Change: the replica stops taking part, the process goes on passing calls to the leader, and the log is read again every 500 ms until the disk works.

--- a/src/cell/cell_core.cpp
+++ b/src/cell/cell_core.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds kPumpDelay{3};
 // A process that asks the advisor for the leader has this long.
 constexpr Milliseconds kAdviceTimeout{4500};
+// A disk that refused a write is tried again after this time; a full one is freed within seconds.
+constexpr Milliseconds kDiskRetry{500};
 constexpr Milliseconds kRaftHeartbeat{75};
 constexpr Milliseconds kElectionMin{450};
 constexpr Milliseconds kElectionMax{900};
@@ -59,13 +61,14 @@
 }  // namespace
 
 struct CellCore::Timers {
-  explicit Timers(boost::asio::io_context& io) : tick(io), pump(io) {}
+  explicit Timers(boost::asio::io_context& io) : tick(io), pump(io), disk(io) {}
   boost::asio::steady_timer tick;
   boost::asio::steady_timer pump;
+  boost::asio::steady_timer disk;
 };
 
 CellCore::CellCore(boost::asio::io_context& io, CoreSettings settings, Peers& peers,
-                   WorkerPort& workers, AdvisorPort& advisor, std::function<void()> on_disk_failure)
+                   WorkerPort& workers, AdvisorPort& advisor)
     : io_(io),
       settings_(std::move(settings)),
       peers_(peers),
@@ -73,7 +76,10 @@
       advisor_(advisor),
       coordinator_(
           std::make_unique<dispatch::Coordinator>(book_, *this, clock_, &UnixNow, RandomNumber())),
-      timers_(std::make_unique<Timers>(io)) {
+      group_(MakeGroup()),
+      timers_(std::make_unique<Timers>(io)) {}
+
+std::unique_ptr<raft::RaftGroup> CellCore::MakeGroup() {
   raft::GroupSetup setup;
   setup.name = "cell";
   setup.node = settings_.node;
@@ -86,13 +92,29 @@
   setup.options.raft.lost_replicas = raft::LostReplicaPolicy::kAdmitNew;
   setup.options.initial_voters = settings_.seeds;
   setup.options.may_bootstrap = settings_.first_start;
-  setup.on_failure = [on_disk_failure = std::move(on_disk_failure)](const Error& error) {
-    Event("storage_failed", Severity::kError)
-        .With("code", static_cast<int>(error.code))
-        .With("reason", error.message);
-    on_disk_failure();
-  };
-  group_ = std::make_unique<raft::RaftGroup>(io_, std::move(setup), *this, peers_);
+  setup.on_failure = [this](const Error& error) { OnDiskFailure(error); };
+  return std::make_unique<raft::RaftGroup>(io_, std::move(setup), *this, peers_);
+}
+
+// A replica whose disk refuses a write is as good as down, but its process goes on passing calls to
+// the leader. It reads its log again once the disk works.
+void CellCore::OnDiskFailure(const Error& error) {
+  Event("storage_failed", Severity::kError)
+      .With("code", static_cast<int>(error.code))
+      .With("reason", error.message)
+      .With("retry_ms", kDiskRetry.count());
+  coordinator_->Resign();
+  timers_->disk.expires_after(kDiskRetry);
+  timers_->disk.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec && !stopping_) RestartGroup();
+  });
+}
+
+void CellCore::RestartGroup() {
+  group_.reset();
+  book_ = job::JobBook();
+  group_ = MakeGroup();
+  if (const auto started = group_->Start(); !started) OnDiskFailure(started.error());
 }
 
 CellCore::~CellCore() = default;
@@ -133,6 +155,8 @@
 }
 
 void CellCore::Stop(std::function<void()> done) {
+  stopping_ = true;
+  timers_->disk.cancel();
   timers_->tick.cancel();
   group_->Stop([this, done = std::move(done)] {
     coordinator_->Resign();
--- a/src/cell/cell_core.h
+++ b/src/cell/cell_core.h
@@ -33,7 +33,7 @@
 class CellCore : public raft::StateMachine, public dispatch::Outbox {
  public:
   CellCore(boost::asio::io_context& io, CoreSettings settings, Peers& peers, WorkerPort& workers,
-           AdvisorPort& advisor, std::function<void()> on_disk_failure);
+           AdvisorPort& advisor);
   ~CellCore() override;
 
   /// Registers the RPC methods; call before the server listens.
@@ -76,6 +76,9 @@
   void OnPutConfig(const job::CellConfig& config, const Reply& reply);
   void OnGetConfig(const ConfigQuery& query, const Reply& reply);
   void ArmTick();
+  std::unique_ptr<raft::RaftGroup> MakeGroup();
+  void OnDiskFailure(const Error& error);
+  void RestartGroup();
 
   struct Timers;
   boost::asio::io_context& io_;
@@ -89,6 +92,7 @@
   std::unique_ptr<raft::RaftGroup> group_;
   std::unique_ptr<Timers> timers_;
   bool pump_wanted_ = false;
+  bool stopping_ = false;
 };
 
 }  // namespace parsleyline::cell
