Keep a gang's reservation until it starts; act only on proved leadership

The reservation was chosen anew in each pass, so its tickets were never valid together, more urgent small tasks filled the room that was kept, and workers that joined later were never asked about. Entries that were cut off held calls until the time limit of the caller.

Change: a reservation stays until its time is over, all its tickets are renewed together, reserved workers are the last choice of other work, new workers are asked about. A leader that stood still proves its leadership first.

--- a/src/cell/cell_client.cpp
+++ b/src/cell/cell_client.cpp
@@ -15,7 +15,11 @@
 // A leader that has not answered a call within this time may be cut off; another process is asked.
 constexpr Milliseconds kAttemptTimeout{900};
 constexpr Milliseconds kRetryPause{60};
-constexpr Milliseconds kPresenceInterval{1000};
+// Without an answer for this long the process counts as cut off. Its calls then fail soon, so that
+// callers can turn to another process while their own time lasts.
+constexpr Milliseconds kCutOff{1500};
+constexpr Milliseconds kCutOffTimeLimit{400};
+constexpr Milliseconds kPresenceInterval{500};
 constexpr Milliseconds kPresenceRetry{150};
 constexpr Milliseconds kPresenceTimeout{800};
 
@@ -25,6 +29,7 @@
   struct Pending {
     std::string method;
     std::string body;
+    TimePoint begun;
     TimePoint deadline;
     AnswerDone done;
     bool may_have_run = false;
@@ -46,7 +51,10 @@
   }
 
   void Attempt(const std::shared_ptr<Pending>& call) {
-    const auto left = std::chrono::duration_cast<Milliseconds>(call->deadline - clock.Now());
+    const TimePoint now = clock.Now();
+    const bool cut_off = last_reply != TimePoint() && now - last_reply > kCutOff;
+    if (cut_off) call->deadline = std::min(call->deadline, call->begun + kCutOffTimeLimit);
+    const auto left = std::chrono::duration_cast<Milliseconds>(call->deadline - now);
     if (left <= Milliseconds(0)) {
       return call->done(
           {Fail(ResultCode::kNoLeader, "no leader answered in time"), call->may_have_run});
@@ -65,9 +73,11 @@
     if (result) {
       leader = target;
       last_contact = clock.Now();
+      last_reply = last_contact;
       return call->done({std::move(result), true});
     }
     const ResultCode code = result.error().code;
+    if (code == ResultCode::kNotLeader) last_reply = clock.Now();
     const bool not_run = code == ResultCode::kNotLeader || code == ResultCode::kConnectionFailed ||
                          code == ResultCode::kShuttingDown || code == ResultCode::kOverloaded ||
                          code == ResultCode::kNoLeader;
@@ -120,7 +130,8 @@
     auto call = std::make_shared<Pending>();
     call->method = method;
     call->body = std::move(body);
-    call->deadline = clock.Now() + time_limit;
+    call->begun = clock.Now();
+    call->deadline = call->begun + time_limit;
     call->done = std::move(done);
     Attempt(call);
   }
@@ -131,7 +142,9 @@
   std::vector<NodeId> members;
   NodeId leader;
   std::size_t next = 0;
+  /// When the leader, and when any process, answered last.
   TimePoint last_contact;
+  TimePoint last_reply;
   bool was_connected = false;
   boost::asio::steady_timer presence_timer;
   const SteadyClock clock;
--- a/src/dispatch/advice_table.cpp
+++ b/src/dispatch/advice_table.cpp
@@ -12,9 +12,16 @@
 }
 
 std::string StepAdvice::TicketFor(const job::WorkerLifetime& worker, TimePoint now) const {
+  if (TicketLife(worker, now) <= Duration(0)) return {};
+  return entries_.at(worker.worker).ticket;
+}
+
+Duration StepAdvice::TicketLife(const job::WorkerLifetime& worker, TimePoint now) const {
   const auto it = entries_.find(worker.worker);
-  if (it == entries_.end() || it->second.born != worker.born) return {};
-  return now + kTicketMargin < it->second.valid_until ? it->second.ticket : std::string();
+  const bool held =
+      it != entries_.end() && it->second.born == worker.born && !it->second.ticket.empty();
+  if (!held) return Duration(0);
+  return std::max<Duration>(it->second.valid_until - kTicketMargin - now, Duration(0));
 }
 
 void StepAdvice::Note(const std::vector<job::WorkerLifetime>& asked, const AdviceReply& reply,
--- a/src/dispatch/advice_table.h
+++ b/src/dispatch/advice_table.h
@@ -22,6 +22,9 @@
   /// Returns the ticket for a worker if it may be used now, or an empty string.
   std::string TicketFor(const job::WorkerLifetime& worker, TimePoint now) const;
 
+  /// Returns how long the ticket for a worker may still be used; 0 if there is none.
+  Duration TicketLife(const job::WorkerLifetime& worker, TimePoint now) const;
+
   /// Notes the answer to a query about `asked`, which was received at `now`.
   void Note(const std::vector<job::WorkerLifetime>& asked, const AdviceReply& reply, TimePoint now);
   /// Forgets a ticket that a worker has refused.
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -16,6 +16,8 @@
 // Callers learn the state of an ended job for this long. A little over the promised 120 s.
 constexpr Milliseconds kEndedRetention{130'000};
 constexpr Milliseconds kCheckInterval{100};
+// A process that has not run for this long may have lost the leadership without having noticed.
+constexpr Milliseconds kStoodStill{700};
 
 }  // namespace
 
@@ -41,6 +43,8 @@
   leads_ = true;
   fence_ = fence;
   led_since_ = clock_.Now();
+  last_tick_ = led_since_;
+  paused_ = false;
   for (const auto& [id, report] : book_.roster()) {
     Worker* worker = fleet_.Note(report, led_since_).worker;
     if (worker != nullptr) worker->clock.AssumeLeaseAt(led_since_);
@@ -118,7 +122,9 @@
     for (const job::JobId& it : *list) {
       Event("job_ended").With("job", it).With("phase", job::Name(book_.Find(it)->phase));
       ended_at_[it] = clock_.Now();
-      MarkJobUnwanted(it);
+      // The members of a gang that is done end by themselves.
+      const bool complete = book_.Find(it)->phase == job::JobPhase::kComplete;
+      MarkJobUnwanted(it, complete ? static_cast<std::uint32_t>(job::StepFlag::kGang) : 0);
       touched.insert(it);
     }
   }
@@ -203,6 +209,7 @@
 
 void Coordinator::Pump() {
   if (!leads_) return;
+  if (paused_) return Propose();
   SendDueStops();
   Schedule();
   Propose();
@@ -212,6 +219,12 @@
 void Coordinator::Tick() {
   if (!leads_) return;
   const TimePoint now = clock_.Now();
+  if (now - std::exchange(last_tick_, now) > kStoodStill && !paused_) {
+    Event("stood_still", Severity::kWarning).With("fence", fence_);
+    paused_ = true;
+    WhenDurable([this](ResultCode) { paused_ = false; });
+  }
+  if (paused_) return Propose();
   if (now >= next_check_) {
     next_check_ = now + kCheckInterval;
     CheckWorkers();
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -109,7 +109,8 @@
   void RecordEnd(const job::RunKey& key, job::RunEnd end, const std::string& checkpoint);
   void MarkLost(Run* run, const char* reason);
   void MarkUnwanted(const job::StepKey& step, job::RunNumber run);
-  void MarkJobUnwanted(const job::JobId& job);
+  /// Has the runs of a job stopped, except those of steps with one of the `spared` flags.
+  void MarkJobUnwanted(const job::JobId& job, std::uint32_t spared);
   void NoteHealth(Worker* worker, const job::RunKey& key, job::RunEnd end);
   void Quarantine(Worker* worker, const char* reason);
   Run* FindRun(const job::RunKey& key, Worker** worker);
@@ -129,7 +130,13 @@
   enum class TicketRule { kValidTicket, kApproved, kNotRefused };
   std::vector<Candidate> Candidates(const StepWork& work, const PassState& pass,
                                     TicketRule rule) const;
+  void BeginPass(PassState* pass);
   void ReserveRoom(StepWork* work, const std::vector<Candidate>& approved, PassState* pass);
+  void Withhold(StepWork* work, PassState* pass);
+  /// Asks for new tickets for all reserved workers if one would run out before the room is there.
+  void RenewTickets(StepWork* work, Duration wait, PassState* pass);
+  Duration ExpectedWait(const StepWork& work, const PassState& pass) const;
+  void AskAboutUnknown(StepWork* work, PassState* pass);
   void Ask(StepWork* work, std::vector<const Worker*> workers, PassState* pass);
   void AskAboutRoom(StepWork* work, std::uint32_t tasks, PassState* pass);
   std::vector<std::uint32_t> WaitingTasks(const StepWork& work) const;
@@ -168,6 +175,9 @@
   std::set<job::JobId> timed_jobs_;
   TimePoint next_check_;
   TimePoint led_since_;
+  TimePoint last_tick_;
+  /// True after this process stood still, until it has proved that it still leads.
+  bool paused_ = false;
 
   job::CommandBatch batch_;
   std::vector<Durable> batch_waiters_;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -23,10 +23,14 @@
 constexpr Milliseconds kCallerTimeout{5000};
 constexpr Milliseconds kAskRetry{200};
 // Gangs that may keep room free at once, and the longest time that room is kept for.
-constexpr std::size_t kMaxReservations = 3;
+constexpr std::size_t kMaxReservations = 5;
 constexpr Milliseconds kReservationHorizon{4000};
+// A reservation is made anew if the room is not there this long after it was expected.
+constexpr Milliseconds kReservationSlack{1500};
 // Tickets for a reserved gang are fetched so that they arrive about when the room does.
 constexpr Milliseconds kTicketLead{200};
+// Workers that joined since a gang asked, as a number that is worth another question.
+constexpr std::size_t kWorthAsking = 6;
 
 }  // namespace
 
@@ -108,26 +112,36 @@
   }
 }
 
-void Coordinator::Schedule() {
-  if (waiting_.empty()) return;
-  PassState pass;
-  pass.now = clock_.Now();
-  pass.config = &book_.config();
+void Coordinator::BeginPass(PassState* pass) {
+  pass->now = clock_.Now();
+  pass->config = &book_.config();
   for (const auto& [id, worker] : fleet_.workers()) {
-    if (worker.TakesWork(pass.now)) pass.rooms[id] = {&worker, worker.Free(), false};
+    if (worker.TakesWork(pass->now)) pass->rooms[id] = {&worker, worker.Free(), false, nullptr};
+  }
+  for (const auto& [key, work] : waiting_) {
+    for (const WorkerId& it : work->reserved) {
+      const auto room = pass->rooms.find(it);
+      if (room != pass->rooms.end()) room->second.reserved_for = work.get();
+    }
   }
-  if (pass.rooms.empty()) return;
   for (auto& [id, caller] : callers_) {
-    if (caller.busy_with && pass.now - caller.busy_since > kCallerTimeout) {
+    if (caller.busy_with && pass->now - caller.busy_since > kCallerTimeout) {
       if (const auto it = waiting_.find(*caller.busy_with); it != waiting_.end()) {
         it->second->asking = false;
       }
       caller.busy_with.reset();
     }
-    if (!caller.busy_with && pass.now - caller.last_seen < kCallerTimeout) {
-      pass.idle_callers.push_back(id);
+    if (!caller.busy_with && pass->now - caller.last_seen < kCallerTimeout) {
+      pass->idle_callers.push_back(id);
     }
   }
+}
+
+void Coordinator::Schedule() {
+  if (waiting_.empty()) return;
+  PassState pass;
+  BeginPass(&pass);
+  if (pass.rooms.empty()) return;
   std::vector<std::pair<Urgency, StepWork*>> order;
   order.reserve(waiting_.size());
   for (const auto& [key, work] : waiting_) {
@@ -135,9 +149,9 @@
     const job::QueueSettings* queue = pass.config->Find(work->queue);
     if (job == nullptr || queue == nullptr) continue;
     const Duration remaining = RemainingChain(job->spec, job->occurrences[key.occurrence], *queue);
-    order.emplace_back(
-        UrgencyOf(pass.now, work->accepted, work->objective, remaining, queue->priority),
-        work.get());
+    work->urgency =
+        UrgencyOf(pass.now, work->accepted, work->objective, remaining, queue->priority);
+    order.emplace_back(work->urgency, work.get());
   }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
     return a.first != b.first ? a.first < b.first : a.second->key < b.second->key;
@@ -199,7 +213,8 @@
       if (needs_valid && work.advice.TicketFor(report.lifetime, pass.now).empty()) continue;
     }
     const auto count = running.find(id);
-    candidates.push_back({room.worker, room.free, count == running.end() ? 0 : count->second});
+    candidates.push_back({room.worker, room.free, count == running.end() ? 0 : count->second,
+                          room.reserved_for != nullptr && room.reserved_for != &work});
   }
   return candidates;
 }
@@ -234,6 +249,7 @@
   };
   std::stable_sort(candidates.begin(), candidates.end(),
                    [&](const Candidate& a, const Candidate& b) {
+                     if (a.reserved != b.reserved) return b.reserved;
                      if (is_approved(a) != is_approved(b)) return is_approved(a);
                      return a.room.cpu > b.room.cpu;
                    });
@@ -299,26 +315,22 @@
   if (IsAnyRunOpen(work->key)) return;
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   const job::QueueSettings& queue = *pass->config->Find(work->queue);
-  if (queue.needs_ticket != 0 && work->advice.KnownCount() == 0) {
-    std::vector<const Worker*> all;
-    for (const Candidate& it : Candidates(*work, *pass, TicketRule::kNotRefused)) {
-      const Candidate empty{it.worker, it.worker->report.capacity, 0};
-      if (FitCount(step, empty) > 0) all.push_back(it.worker);
-    }
-    return Ask(work, std::move(all), pass);
-  }
+  if (queue.needs_ticket != 0) AskAboutUnknown(work, pass);
   const std::vector<Candidate> approved = Candidates(*work, *pass, TicketRule::kApproved);
   const std::vector<WorkerId> chosen = PlaceGang(step, approved);
   if (chosen.empty()) return ReserveRoom(work, approved, pass);
-  std::vector<const Worker*> without_ticket;
-  for (const WorkerId& it : std::set<WorkerId>(chosen.begin(), chosen.end())) {
-    const Worker* worker = pass->rooms[it].worker;
-    const bool has = !work->advice.TicketFor(worker->report.lifetime, pass->now).empty();
-    if (queue.needs_ticket != 0 && !has) without_ticket.push_back(worker);
-  }
-  if (!without_ticket.empty()) {
-    for (const WorkerId& it : chosen) pass->rooms[it].free -= step.demand;
-    return Ask(work, std::move(without_ticket), pass);
+  const std::set<WorkerId> distinct(chosen.begin(), chosen.end());
+  const bool has_tickets =
+      queue.needs_ticket == 0 ||
+      std::all_of(distinct.begin(), distinct.end(), [work, pass](const WorkerId& it) {
+        const job::WorkerLifetime& lifetime = pass->rooms[it].worker->report.lifetime;
+        return work->advice.TicketLife(lifetime, pass->now) > Duration(0);
+      });
+  if (!has_tickets) {
+    work->reserved.assign(distinct.begin(), distinct.end());
+    work->reserved_until = pass->now + kReservationSlack;
+    RenewTickets(work, Duration(0), pass);
+    return Withhold(work, pass);
   }
   const job::StepState& state = *book_.FindStep(work->key);
   const auto saved = std::find_if(state.tasks.begin(), state.tasks.end(),
@@ -328,35 +340,85 @@
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
     StartTask(work, {{work->key, i}, run}, checkpoint, chosen[i], pass);
   }
+  work->reserved.clear();
 }
 
-void Coordinator::ReserveRoom(StepWork* work, const std::vector<Candidate>& approved,
-                              PassState* pass) {
-  if (pass->gangs_waiting >= kMaxReservations) return;
+// A gang asks about all workers at once: which of them it may use decides where it waits.
+void Coordinator::AskAboutUnknown(StepWork* work, PassState* pass) {
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
-  const job::QueueSettings& queue = *pass->config->Find(work->queue);
-  std::map<WorkerId, std::vector<std::pair<Duration, Resources>>> ends_in;
-  for (const Candidate& it : approved) {
-    auto& ends = ends_in[it.worker->id()];
-    for (const auto& [key, run] : it.worker->runs) {
-      ends.emplace_back(run.ExpectedRest(pass->now), run.demand);
+  std::vector<const Worker*> unknown;
+  for (const Candidate& it : Candidates(*work, *pass, TicketRule::kNotRefused)) {
+    const Candidate empty{it.worker, it.worker->report.capacity, 0, false};
+    const auto verdict = work->advice.VerdictOf(it.worker->report.lifetime);
+    if (verdict == StepAdvice::Verdict::kUnknown && FitCount(step, empty) > 0) {
+      unknown.push_back(it.worker);
     }
-    std::sort(ends.begin(), ends.end());
   }
-  const auto reservation = ReserveForGang(step, approved, ends_in, kReservationHorizon);
-  if (!reservation) return;
+  const bool first = work->advice.KnownCount() == 0;
+  if (first || unknown.size() >= kWorthAsking) Ask(work, std::move(unknown), pass);
+}
+
+void Coordinator::ReserveRoom(StepWork* work, const std::vector<Candidate>& approved,
+                              PassState* pass) {
+  // Work that can no longer count does not keep room from work that can.
+  if (work->urgency.prospect == Prospect::kLost || pass->gangs_waiting >= kMaxReservations) {
+    work->reserved.clear();
+    return;
+  }
+  const bool usable =
+      std::all_of(work->reserved.begin(), work->reserved.end(), [&approved](const WorkerId& id) {
+        return std::any_of(approved.begin(), approved.end(),
+                           [&id](const Candidate& it) { return it.worker->id() == id; });
+      });
+  if (work->reserved.empty() || !usable || pass->now >= work->reserved_until) {
+    work->reserved.clear();
+    const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
+    std::vector<Candidate> open = approved;
+    std::erase_if(open, [](const Candidate& it) { return it.reserved; });
+    std::map<WorkerId, std::vector<std::pair<Duration, Resources>>> ends_in;
+    for (const Candidate& it : open) ends_in[it.worker->id()] = it.worker->ExpectedEnds(pass->now);
+    const auto reservation = ReserveForGang(step, open, ends_in, kReservationHorizon);
+    if (!reservation) return;
+    work->reserved = reservation->workers;
+    work->reserved_until = pass->now + reservation->wait + kReservationSlack;
+  }
+  RenewTickets(work, ExpectedWait(*work, *pass), pass);
+  Withhold(work, pass);
+}
+
+void Coordinator::Withhold(StepWork* work, PassState* pass) {
   ++pass->gangs_waiting;
-  std::vector<const Worker*> without_ticket;
-  for (const WorkerId& it : reservation->workers) {
+  for (const WorkerId& it : work->reserved) {
     pass->rooms[it].withheld = true;
-    const Worker* worker = pass->rooms[it].worker;
-    if (work->advice.TicketFor(worker->report.lifetime, pass->now).empty()) {
-      without_ticket.push_back(worker);
-    }
+    pass->rooms[it].reserved_for = work;
   }
+}
+
+Duration Coordinator::ExpectedWait(const StepWork& work, const PassState& pass) const {
+  const job::StepSpec& step = book_.Find(work.key.job)->spec.steps[work.key.step];
+  std::vector<Candidate> candidates;
+  std::map<WorkerId, std::vector<std::pair<Duration, Resources>>> ends_in;
+  for (const WorkerId& it : work.reserved) {
+    const PassState::Room& room = pass.rooms.at(it);
+    candidates.push_back({room.worker, room.free, 0, false});
+    ends_in[it] = room.worker->ExpectedEnds(pass.now);
+  }
+  const auto reservation = ReserveForGang(step, candidates, ends_in, kReservationHorizon);
+  return reservation ? reservation->wait : Duration(kReservationHorizon);
+}
+
+void Coordinator::RenewTickets(StepWork* work, Duration wait, PassState* pass) {
+  const job::QueueSettings& queue = *pass->config->Find(work->queue);
   if (queue.needs_ticket == 0) return;
-  const Duration time = AdviceTime(queue.advisor, static_cast<std::int64_t>(without_ticket.size()));
-  if (reservation->wait <= time + kTicketLead) Ask(work, std::move(without_ticket), pass);
+  std::vector<const Worker*> reserved;
+  bool runs_out = false;
+  for (const WorkerId& it : work->reserved) {
+    const Worker* worker = pass->rooms[it].worker;
+    reserved.push_back(worker);
+    runs_out = runs_out || work->advice.TicketLife(worker->report.lifetime, pass->now) <= wait;
+  }
+  const Duration time = AdviceTime(queue.advisor, static_cast<std::int64_t>(reserved.size()));
+  if (runs_out && wait <= time + kTicketLead) Ask(work, std::move(reserved), pass);
 }
 
 void Coordinator::StartTask(StepWork* work, const job::RunKey& key, const std::string& checkpoint,
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -280,12 +280,13 @@
   outbox_.WantPump();
 }
 
-void Coordinator::MarkJobUnwanted(const job::JobId& job) {
+void Coordinator::MarkJobUnwanted(const job::JobId& job, std::uint32_t spared) {
   const job::RunKey first{{{job, 0, 0}, 0}, job::RunNumber()};
   for (auto it = run_index_.lower_bound(first); it != run_index_.end(); ++it) {
     if (it->first.task.step.job != job) break;
     Worker* worker = nullptr;
-    if (Run* run = FindRun(it->first, &worker); run != nullptr) run->unwanted = true;
+    Run* run = FindRun(it->first, &worker);
+    if (run != nullptr && (run->flags & spared) == 0) run->unwanted = true;
   }
   outbox_.WantPump();
 }
--- a/src/dispatch/fleet.cpp
+++ b/src/dispatch/fleet.cpp
@@ -31,6 +31,14 @@
   return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
 }
 
+std::vector<std::pair<Duration, Resources>> Worker::ExpectedEnds(TimePoint now) const {
+  std::vector<std::pair<Duration, Resources>> ends;
+  ends.reserve(runs.size());
+  for (const auto& [key, run] : runs) ends.emplace_back(run.ExpectedRest(now), run.demand);
+  std::sort(ends.begin(), ends.end());
+  return ends;
+}
+
 bool Worker::TakesWork(TimePoint now) const {
   if (!reconciled || draining || now < quarantined_until) return false;
   return failed_holds < kMaxFailedHolds && now - std::max(last_report, last_answer) < kSilence;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dispatch/lease_clock.h"
@@ -86,6 +86,8 @@
   bool HasLabel(const std::string& label) const;
   WorkerAddress Address() const { return {report.lifetime, report.address}; }
   Resources Free() const { return report.capacity - charged; }
+  /// Returns when the runs are expected to end and what each then frees, in order of time.
+  std::vector<std::pair<Duration, Resources>> ExpectedEnds(TimePoint now) const;
   /// Tells whether new tasks may be sent here.
   bool TakesWork(TimePoint now) const;
 };
--- a/src/dispatch/placer.cpp
+++ b/src/dispatch/placer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace parsleyline::dispatch {
@@ -49,12 +50,13 @@
   std::vector<WorkerId> chosen;
   std::erase_if(candidates, [&step](const Candidate& it) { return FitCount(step, it) == 0; });
   while (chosen.size() < tasks && !candidates.empty()) {
-    const auto best = std::min_element(
-        candidates.begin(), candidates.end(), [&step](const Candidate& a, const Candidate& b) {
-          const bool a_far = !IsNearData(step, a);
-          const bool b_far = !IsNearData(step, b);
-          return std::pair(a_far, Leftover(step, a)) < std::pair(b_far, Leftover(step, b));
-        });
+    const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                       [&step](const Candidate& a, const Candidate& b) {
+                                         const bool a_far = !IsNearData(step, a);
+                                         const bool b_far = !IsNearData(step, b);
+                                         return std::tuple(a.reserved, a_far, Leftover(step, a)) <
+                                                std::tuple(b.reserved, b_far, Leftover(step, b));
+                                       });
     // The tightest worker takes tasks until it is full.
     while (chosen.size() < tasks && FitCount(step, *best) > 0) {
       chosen.push_back(best->worker->id());
--- a/src/dispatch/placer.h
+++ b/src/dispatch/placer.h
@@ -16,6 +16,9 @@
   Resources room;
   /// Tasks of the step that it already runs.
   std::uint32_t running = 0;
+  /// Kept free for a gang that is less urgent. Used only if nothing else will do, because a gang
+  /// that loses room over and over never starts.
+  bool reserved = false;
 };
 
 /// Returns how many tasks of a step fit on a candidate.
--- a/src/dispatch/step_work.h
+++ b/src/dispatch/step_work.h
@@ -17,8 +17,11 @@
   StepAdvice advice;
   bool asking = false;
   TimePoint next_ask;
-  /// Workers whose room a gang waits for.
+  /// What the job can still reach, as of the last pass.
+  Urgency urgency;
+  /// Workers whose room a gang waits for, and the time at which other workers are considered.
   std::vector<WorkerId> reserved;
+  TimePoint reserved_until;
 };
 
 /// What one scheduling pass works with.
@@ -31,6 +34,8 @@
     Resources free;
     /// Kept for a gang that goes before all work that is scheduled later in this pass.
     bool withheld = false;
+    /// The gang that this worker is reserved for, or null.
+    const StepWork* reserved_for = nullptr;
   };
   std::map<WorkerId, Room> rooms;
   std::size_t gangs_waiting = 0;
--- a/tests/dispatch/coordinator_fixture.h
+++ b/tests/dispatch/coordinator_fixture.h
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -161,10 +162,14 @@
     Commit();
   }
 
+  /// Lets time pass with the ticks that belong to it.
   void Advance(std::int64_t ms) {
-    clock_.Advance(Milliseconds(ms));
-    coordinator_->Tick();
-    Commit();
+    constexpr std::int64_t kStep = 100;
+    for (; ms > 0; ms -= kStep) {
+      clock_.Advance(Milliseconds(std::min(ms, kStep)));
+      coordinator_->Tick();
+      Commit();
+    }
   }
 
   static ListedEnd EndOf(const job::RunKey& run, job::RunEnd end, std::uint64_t number) {
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(CancelledJob_ActiveRun_IsStopped);
   CPPUNIT_TEST(UnknownRun_InList_IsStopped);
   CPPUNIT_TEST(Standstill_NoProgress_IsStopped);
+  CPPUNIT_TEST(StoodStill_LeadershipNotProved_DecidesNothing);
+  CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -208,6 +210,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
   }
 
+  // Guards against decisions of a leader that was frozen while another took over.
+  void StoodStill_LeadershipNotProved_DecidesNothing() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    AnswerHold("w1", {ActiveOf(order.run, 30)});
+    clock_.Advance(Milliseconds(7000));
+    coordinator_->Tick();
+    coordinator_->Pump();
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->batches.size());
+    CPPUNIT_ASSERT(outbox_->batches.front().IsEmpty());
+  }
+
+  void CompleteGang_OtherMembers_AreNotStopped() {
+    AddWorker("w1", 2000);
+    Submit("j", Spec(2, 1000, kGang));
+    for (const StartOrder& it : std::vector<StartOrder>(outbox_->starts)) {
+      Reply(it, OrderOutcome::kAccepted);
+    }
+    AnswerHold("w1", {}, {EndOf(outbox_->starts[0].run, RunEnd::kDone, 1)});
+    CPPUNIT_ASSERT(JobPhase::kComplete == PhaseOf("j"));
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+  }
+
  private:
   StartOrder StartOne(const std::string& worker) {
     AddWorker(worker);
