--- a/src/base/units.h
+++ b/src/base/units.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -72,6 +73,14 @@
   friend Resources operator+(Resources a, const Resources& b) { return a += b; }
   friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
 
+  /// Raises each resource to that of `other` where that is more.
+  void RaiseTo(const Resources& other) {
+    cpu = std::max(cpu, other.cpu);
+    memory = std::max(memory, other.memory);
+    accelerators = std::max(accelerators, other.accelerators);
+    slots = std::max(slots, other.slots);
+  }
+
   /// Tells whether a task with this demand fits into `available` in every resource.
   bool FitsInto(const Resources& available) const {
     return cpu <= available.cpu && memory <= available.memory &&
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -29,12 +29,13 @@
 }
 
 Coordinator::Coordinator(const job::JobBook& book, Outbox& outbox, const Clock& clock,
-                         ReadUnixTime unix_time, std::uint64_t proposer)
+                         ReadUnixTime unix_time, std::uint64_t proposer, Policy policy)
     : book_(book),
       outbox_(outbox),
       clock_(clock),
       unix_time_(std::move(unix_time)),
-      proposer_(proposer) {}
+      proposer_(proposer),
+      policy_(policy) {}
 
 Coordinator::~Coordinator() = default;
 
@@ -155,7 +156,7 @@
   }
   const Duration chain = WholeChain(spec, queue);
   const Duration objective = Objective(spec, queue);
-  if (!spec.IsTimed()) {
+  if (!spec.IsTimed() && policy_.door == DoorRule::kExpectedWait) {
     const Admission admission = Admit(backlog_, queue.priority, chain, objective);
     if (!admission.accepted) {
       ++counts_.rejected;
@@ -163,11 +164,12 @@
           .With("job", id)
           .With("queue", queue.id)
           .With("wait_ms", admission.expected_wait / Milliseconds(1))
-          .With("slack_ms", (objective - chain) / Milliseconds(1))
+          .With("objective_ms", objective / Milliseconds(1))
+          .With("chain_ms", chain / Milliseconds(1))
           .With("retry_after_ms", admission.retry_after.count());
       return done({ResultCode::kWaitTooLong, admission.retry_after});
     }
-    backlog_.Add(queue.priority, WorkOf(spec));
+    backlog_.Add(Prospect::kInTime, queue.priority, WorkOf(spec));
   }
   ++counts_.accepted;
   Event("job_accepted")
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -17,6 +17,7 @@
 #include "dispatch/fleet.h"
 #include "dispatch/messages.h"
 #include "dispatch/placer.h"
+#include "dispatch/policy.h"
 #include "dispatch/urgency.h"
 #include "job/job_book.h"
 
@@ -45,7 +46,7 @@
   using Durable = std::function<void(ResultCode)>;
 
   Coordinator(const job::JobBook& book, Outbox& outbox, const Clock& clock, ReadUnixTime unix_time,
-              std::uint64_t proposer);
+              std::uint64_t proposer, Policy policy = {});
   ~Coordinator();
 
   /// Begins to lead. The book holds all that earlier leaders recorded.
@@ -103,6 +104,7 @@
   void SendDueHolds();
   void SendDueStops();
   void CheckWorkers();
+  void StopStandingRuns();
   void Reconcile(Worker* worker, const HoldReply& reply, std::uint64_t hold);
   void NoteEnds(Worker* worker, const std::vector<ListedEnd>& finished);
   void NoteActive(Worker* worker, const ActiveRun& active, std::uint64_t hold);
@@ -153,6 +155,7 @@
   const Clock& clock_;
   const ReadUnixTime unix_time_;
   const std::uint64_t proposer_;
+  const Policy policy_;
 
   bool leads_ = false;
   Fence fence_;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -29,8 +29,8 @@
 constexpr Milliseconds kReservationSlack{1500};
 // Tickets for a reserved gang are fetched so that they arrive about when the room does.
 constexpr Milliseconds kTicketLead{200};
-// Workers that joined since a gang asked, as a number that is worth another question.
-constexpr std::size_t kWorthAsking = 6;
+// A gang without a reservation asks about workers that have joined, at most this often.
+constexpr Milliseconds kAskUnknownInterval{1000};
 
 }  // namespace
 
@@ -101,13 +101,12 @@
     const Urgency urgency =
         UrgencyOf(now, now - age, Objective(job.spec, *queue),
                   RemainingChain(job.spec, job.occurrences.front(), *queue), queue->priority);
-    // Work that is late already starts only on room that nothing else wants.
-    if (urgency.prospect != Prospect::kInTime) continue;
     for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
       const job::StepSpec& step = job.spec.steps[i];
       const std::int64_t waiting = job.occurrences.front().steps[i].Waiting();
-      backlog_.Add(queue->priority, waiting * step.demand.cpu.count() * step.estimate.count() /
-                                        static_cast<std::int64_t>(kPermille));
+      backlog_.Add(urgency.prospect, queue->priority,
+                   waiting * step.demand.cpu.count() * step.estimate.count() /
+                       static_cast<std::int64_t>(kPermille));
     }
   }
 }
@@ -118,6 +117,7 @@
   for (const auto& [id, worker] : fleet_.workers()) {
     if (worker.TakesWork(pass->now)) pass->rooms[id] = {&worker, worker.Free(), false, nullptr};
   }
+  for (const auto& [id, room] : pass->rooms) pass->largest.RaiseTo(room.free);
   for (const auto& [key, work] : waiting_) {
     for (const WorkerId& it : work->reserved) {
       const auto room = pass->rooms.find(it);
@@ -151,7 +151,7 @@
     const Duration remaining = RemainingChain(job->spec, job->occurrences[key.occurrence], *queue);
     work->urgency =
         UrgencyOf(pass.now, work->accepted, work->objective, remaining, queue->priority);
-    order.emplace_back(work->urgency, work.get());
+    order.emplace_back(Ordered(work->urgency, policy_.order, work->accepted), work.get());
   }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
     return a.first != b.first ? a.first < b.first : a.second->key < b.second->key;
@@ -204,6 +204,7 @@
   for (const auto& [id, room] : pass.rooms) {
     const WorkerReport& report = room.worker->report;
     if (room.withheld || report.pool != queue.pool) continue;
+    if (step.Has(job::StepFlag::kGang) && room.worker->on_probation) continue;
     if (!step.required_label.empty() && !room.worker->HasLabel(step.required_label)) continue;
     if (queue.needs_ticket != 0) {
       const auto verdict = work.advice.VerdictOf(report.lifetime);
@@ -220,9 +221,11 @@
 }
 
 void Coordinator::ScheduleTasks(StepWork* work, PassState* pass) {
+  const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
+  const bool charged = !step.Has(job::StepFlag::kFillsIdle);
+  if (charged && !step.demand.FitsInto(pass->largest)) return;
   const std::vector<std::uint32_t> tasks = WaitingTasks(*work);
   if (tasks.empty()) return;
-  const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   const auto chosen = PlaceTasks(step, static_cast<std::uint32_t>(tasks.size()),
                                  Candidates(*work, *pass, TicketRule::kValidTicket));
   const job::StepState& state = *book_.FindStep(work->key);
@@ -355,13 +358,17 @@
     }
   }
   const bool first = work->advice.KnownCount() == 0;
-  if (first || unknown.size() >= kWorthAsking) Ask(work, std::move(unknown), pass);
+  const bool due = work->reserved.empty() && pass->now >= work->next_unknown_ask;
+  if (unknown.empty() || (!first && !due)) return;
+  work->next_unknown_ask = pass->now + kAskUnknownInterval;
+  Ask(work, std::move(unknown), pass);
 }
 
 void Coordinator::ReserveRoom(StepWork* work, const std::vector<Candidate>& approved,
                               PassState* pass) {
   // Work that can no longer count does not keep room from work that can.
-  if (work->urgency.prospect == Prospect::kLost || pass->gangs_waiting >= kMaxReservations) {
+  if (policy_.gangs != GangRule::kReserve || work->urgency.prospect == Prospect::kLost ||
+      pass->gangs_waiting >= kMaxReservations) {
     work->reserved.clear();
     return;
   }
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -23,7 +23,9 @@
 constexpr Milliseconds kQuarantine{2000};
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 // A task that has made no progress for this long is stopped and started elsewhere.
-constexpr Milliseconds kStandstill{2500};
+constexpr Milliseconds kStandstill{2000};
+// The same on a worker where another task has stood still; a little over the time between lists.
+constexpr Milliseconds kStandstillOnSuspect{1200};
 // A worker that has been silent for this long, with no run left, is dropped.
 constexpr Milliseconds kForgetSilent{30'000};
 
@@ -150,21 +152,38 @@
     if (gone && worker.runs.empty()) silent.push_back(id);
   }
   for (const WorkerId& id : silent) EndLifetime(*fleet_.Remove(id), "silent");
+  StopStandingRuns();
+}
+
+void Coordinator::StopStandingRuns() {
+  const TimePoint now = clock_.Now();
+  const auto is = [](const Run& run, job::StepFlag flag) {
+    return (run.flags & static_cast<std::uint32_t>(flag)) != 0;
+  };
+  // The fast members of a gang stand at the end while the slow ones still work.
+  std::map<std::pair<job::StepKey, job::RunNumber>, TimePoint> gang_progress;
+  for (const auto& [id, worker] : fleet_.workers()) {
+    for (const auto& [key, run] : worker.runs) {
+      if (!is(run, job::StepFlag::kGang)) continue;
+      TimePoint& latest = gang_progress[{key.task.step, key.run}];
+      latest = std::max(latest, run.progressed_at);
+    }
+  }
   for (auto& [id, worker] : fleet_.workers()) {
+    if (worker.failed_holds > 0) continue;
     for (auto& [key, run] : worker.runs) {
-      const bool standing =
-          run.phase == RunPhase::kActive && !run.unwanted &&
-          (run.flags & static_cast<std::uint32_t>(job::StepFlag::kLongRunning)) == 0 &&
-          worker.failed_holds == 0 && now - run.progressed_at > kStandstill;
-      if (!standing) continue;
+      if (run.phase != RunPhase::kActive || run.unwanted) continue;
+      if (is(run, job::StepFlag::kLongRunning)) continue;
+      const bool gang = is(run, job::StepFlag::kGang);
+      const TimePoint progress = gang ? gang_progress[{key.task.step, key.run}] : run.progressed_at;
+      const bool suspect = now < worker.quarantined_until;
+      if (now - progress <= (suspect ? kStandstillOnSuspect : kStandstill)) continue;
       Event("standstill", Severity::kWarning)
           .With("run", key.task)
           .With("worker", id)
           .With("percent", run.percent);
       run.unwanted = true;
-      if ((run.flags & static_cast<std::uint32_t>(job::StepFlag::kGang)) != 0) {
-        MarkUnwanted(key.task.step, key.run);
-      }
+      if (gang) MarkUnwanted(key.task.step, key.run);
       Quarantine(&worker, "standstill");
     }
   }
@@ -408,6 +427,7 @@
   if (end == job::RunEnd::kDone) {
     worker->recent_failures.clear();
     worker->quarantines = 0;
+    worker->on_probation = false;
     return;
   }
   if (end != job::RunEnd::kFailed) return;
@@ -424,6 +444,7 @@
   const std::uint32_t doublings = std::min(worker->quarantines++, kMaxQuarantineDoublings);
   worker->quarantined_until = now + kQuarantine * (1U << doublings);
   worker->recent_failures.clear();
+  worker->on_probation = true;
   Event("worker_quarantined", Severity::kWarning)
       .With("worker", worker->id())
       .With("reason", reason)
--- a/src/dispatch/door.cpp
+++ b/src/dispatch/door.cpp
@@ -2,32 +2,49 @@
 
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 
 namespace parsleyline::dispatch {
 namespace {
 
 // Share of the processors that tasks really use, in thousandths: the rest is lost to fragments,
 // slower workers and the gaps between two tasks.
-constexpr std::int64_t kUsablePermille = 800;
+constexpr std::int64_t kUsablePermille = 850;
 constexpr std::int64_t kPermille = 1000;
 // Bounds of the advice to rejected callers: not at once, and early enough for a second attempt
 // within the usual objectives.
 constexpr Milliseconds kMinRetryAfter{500};
 constexpr Milliseconds kMaxRetryAfter{3000};
 
+std::size_t Level(std::uint32_t priority) {
+  return std::min<std::size_t>(priority, kPriorityLevels - 1);
+}
+
+std::int64_t UpTo(const Backlog::ByPriority& work, std::size_t last) {
+  return std::accumulate(work.begin(), work.begin() + static_cast<std::ptrdiff_t>(last) + 1,
+                         std::int64_t{0});
+}
+
 }  // namespace
 
-void Backlog::Add(std::uint32_t priority, std::int64_t amount) {
-  core_ms[std::min<std::size_t>(priority, kPriorityLevels - 1)] += amount;
+void Backlog::Add(Prospect prospect, std::uint32_t priority, std::int64_t core_ms) {
+  if (prospect == Prospect::kLost) return;
+  ByPriority& work = prospect == Prospect::kInTime ? in_time : late;
+  work[Level(priority)] += core_ms;
 }
 
-Duration Backlog::WaitAhead(std::uint32_t priority) const {
-  const std::size_t last = std::min<std::size_t>(priority, kPriorityLevels - 1);
-  std::int64_t ahead = 0;
-  for (std::size_t i = 0; i <= last; ++i) ahead += core_ms[i];
+Duration Backlog::TimeFor(std::int64_t core_ms) const {
   const std::int64_t usable =
       std::max<std::int64_t>(capacity_millis * kUsablePermille / kPermille, 1);
-  return Milliseconds(ahead * kPermille / usable);
+  return Milliseconds(core_ms * kPermille / usable);
+}
+
+Duration Backlog::WaitInTime(std::uint32_t priority) const {
+  return TimeFor(UpTo(in_time, Level(priority)));
+}
+
+Duration Backlog::WaitLate(std::uint32_t priority) const {
+  return TimeFor(UpTo(in_time, kPriorityLevels - 1) + UpTo(late, Level(priority)));
 }
 
 std::int64_t WorkOf(const job::JobSpec& spec) {
@@ -41,13 +58,13 @@
 Admission Admit(const Backlog& backlog, std::uint32_t priority, Duration chain,
                 Duration objective) {
   Admission admission;
-  admission.expected_wait = backlog.WaitAhead(priority);
-  const Duration slack = objective - chain;
-  if (admission.expected_wait <= slack) return admission;
+  admission.expected_wait = backlog.WaitInTime(priority);
+  const Duration excess = admission.expected_wait - (objective - chain);
+  const Duration late_excess = backlog.WaitLate(priority) - (kLateFactor * objective - chain);
+  if (excess <= Duration(0) || late_excess <= Duration(0)) return admission;
   admission.accepted = false;
   admission.retry_after =
-      std::clamp(std::chrono::duration_cast<Milliseconds>(admission.expected_wait - slack),
-                 kMinRetryAfter, kMaxRetryAfter);
+      std::clamp(std::chrono::duration_cast<Milliseconds>(excess), kMinRetryAfter, kMaxRetryAfter);
   return admission;
 }
 
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -78,6 +78,8 @@
   TimePoint drain_end;
   /// No new tasks before this time, after failures.
   TimePoint quarantined_until;
+  /// True from a quarantine to the next success: one task at a time, and no gangs.
+  bool on_probation = false;
   /// Jobs whose tasks failed here since the last success.
   std::vector<job::JobId> recent_failures;
   std::uint32_t quarantines = 0;
--- a/src/dispatch/step_work.h
+++ b/src/dispatch/step_work.h
@@ -17,6 +17,7 @@
   StepAdvice advice;
   bool asking = false;
   TimePoint next_ask;
+  TimePoint next_unknown_ask;
   /// What the job can still reach, as of the last pass.
   Urgency urgency;
   /// Workers whose room a gang waits for, and the time at which other workers are considered.
@@ -38,6 +39,9 @@
     const StepWork* reserved_for = nullptr;
   };
   std::map<WorkerId, Room> rooms;
+  /// The most of each resource that any worker had free when the pass began. A task that needs more
+  /// fits nowhere.
+  Resources largest;
   std::size_t gangs_waiting = 0;
   std::vector<NodeId> idle_callers;
 };
--- a/src/dispatch/urgency.cpp
+++ b/src/dispatch/urgency.cpp
@@ -64,4 +64,10 @@
   return {Prospect::kLost, priority, -late_slack};
 }
 
+Urgency Ordered(const Urgency& urgency, WaitingOrder order, TimePoint accepted) {
+  if (order == WaitingOrder::kProspect) return urgency;
+  const std::uint32_t priority = order == WaitingOrder::kPriority ? urgency.priority : 0;
+  return {Prospect::kInTime, priority, accepted.time_since_epoch()};
+}
+
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/urgency.h
+++ b/src/dispatch/urgency.h
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "base/clock.h"
+#include "dispatch/policy.h"
 #include "job/cell_config.h"
 #include "job/job_book.h"
 
@@ -44,4 +45,7 @@
 Urgency UrgencyOf(TimePoint now, TimePoint accepted, Duration objective, Duration remaining,
                   std::uint32_t priority);
 
+/// Returns the urgency as the order `order` sees it. The orders other than kProspect are baselines.
+Urgency Ordered(const Urgency& urgency, WaitingOrder order, TimePoint accepted);
+
 }  // namespace parsleyline::dispatch
--- /dev/null
+++ b/tests/dispatch/worst_load_test.cpp
@@ -0,0 +1,193 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "base/event_log.h"
+#include "tests/dispatch/load_simulation.h"
+
+namespace parsleyline::dispatch {
+namespace {
+
+LoadClass Checks(double rate) {
+  LoadClass kind;
+  kind.queue = "checks";
+  kind.priority = 0;
+  kind.rate = rate;
+  kind.mean_tasks = 2;
+  kind.mean_cpu = 5000;
+  kind.mean_ms = 900;
+  kind.slack_factor = 1.5;
+  kind.latency_target_ms = 250;
+  kind.estimate_error = 0.2;
+  kind.advice_ms = 12;
+  kind.advice_ms_per_worker = 0.17;
+  kind.approved = 0.7;
+  return kind;
+}
+
+LoadClass Draws(double rate) {
+  LoadClass kind;
+  kind.queue = "draws";
+  kind.priority = 1;
+  kind.rate = rate;
+  kind.gang = true;
+  kind.mean_tasks = 7;
+  kind.mean_cpu = 16'000;
+  kind.mean_ms = 4500;
+  kind.slack_factor = 2.2;
+  kind.advice_ms = 510;
+  kind.advice_ms_per_worker = 7.3;
+  kind.approved = 0.3;
+  return kind;
+}
+
+LoadClass Pairs(double rate) {
+  LoadClass kind;
+  kind.queue = "pairs";
+  kind.priority = 2;
+  kind.rate = rate;
+  kind.mean_tasks = 10;
+  kind.mean_cpu = 3900;
+  kind.mean_ms = 3000;
+  kind.slack_factor = 4;
+  kind.latency_target_ms = 3000;
+  kind.advice_ms = 82;
+  kind.advice_ms_per_worker = 1.2;
+  kind.approved = 0.45;
+  return kind;
+}
+
+LoadSetup DayOfTheDraws() {
+  LoadSetup setup;
+  setup.classes = {Checks(30), Draws(1.4), Pairs(5)};
+  return setup;
+}
+
+LoadResult Play(LoadSetup setup, Policy policy) {
+  if (std::getenv("SIM_LOG") == nullptr) SetMinimumSeverity(Severity::kError);
+  setup.policy = policy;
+  const LoadResult result = LoadSimulation(std::move(setup)).Run();
+  SetMinimumSeverity(Severity::kInfo);
+  for (const auto& [name, it] : result.classes) {
+    std::cout << "\n  " << name << ": submitted " << it.submitted << " in time " << it.in_time
+              << " late " << it.late << " rejected " << it.rejected << " failed " << it.failed;
+  }
+  std::cout << "\n  wasted core-seconds " << result.wasted_core_seconds << std::endl;
+  return result;
+}
+
+}  // namespace
+
+/// Replays of the worst loads: each shows a baseline losing on the load that a decision answers.
+class WorstLoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorstLoadTest);
+  CPPUNIT_TEST(OrdinaryDay_AllKinds_AreServed);
+  CPPUNIT_TEST(GangsAmongSmallTasks_Reservation_ServesMoreGangs);
+  CPPUNIT_TEST(BurstOfAllKinds_Prospect_ServesMoreThanArrivalOrder);
+  CPPUNIT_TEST(Flood_Door_RejectsWhatWouldBeLost);
+  CPPUNIT_TEST(FailingWorkers_Quarantine_SparesAttempts);
+  CPPUNIT_TEST(HangingWorkers_Standstill_MovesTasks);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OrdinaryDay_AllKinds_AreServed() {
+    const LoadResult result = Play(DayOfTheDraws(), {});
+    CheckRules(result);
+    for (const auto& [name, it] : result.classes) {
+      CPPUNIT_ASSERT_MESSAGE(name, it.InTimeShare() > 0.8);
+    }
+  }
+
+  // Wide gangs among many small tasks, which fill each hole before the next one opens.
+  void GangsAmongSmallTasks_Reservation_ServesMoreGangs() {
+    LoadSetup setup = DayOfTheDraws();
+    setup.classes = {Checks(30), Draws(1.0), Pairs(11)};
+    const LoadResult reserved = Play(setup, {});
+    Policy by_chance;
+    by_chance.gangs = GangRule::kWaitForRoom;
+    const LoadResult chance = Play(setup, by_chance);
+    CheckRules(reserved);
+    CPPUNIT_ASSERT(reserved.classes.at("draws").in_time > chance.classes.at("draws").in_time);
+  }
+
+  // Twice the load that the fleet holds for six seconds.
+  void BurstOfAllKinds_Prospect_ServesMoreThanArrivalOrder() {
+    const LoadResult prospect = Play(Burst(), {});
+    Policy arrival;
+    arrival.order = WaitingOrder::kArrival;
+    const LoadResult by_arrival = Play(Burst(), arrival);
+    CheckRules(prospect);
+    CPPUNIT_ASSERT(InTime(prospect) > InTime(by_arrival));
+  }
+
+  // Far more batch work than can ever count: callers must hear it at the door.
+  void Flood_Door_RejectsWhatWouldBeLost() {
+    LoadSetup setup = DayOfTheDraws();
+    setup.classes = {Checks(30), Draws(1), Pairs(120)};
+    setup.length_ms = 12'000;
+    const LoadResult door = Play(setup, {});
+    Policy open;
+    open.door = DoorRule::kAcceptAll;
+    const LoadResult accepted = Play(setup, open);
+    CheckRules(door);
+    CPPUNIT_ASSERT(Lost(door) * 2 < Lost(accepted));
+    CPPUNIT_ASSERT(InTime(door) * 100 >= InTime(accepted) * 95);
+  }
+
+  // Workers that accept every start and fail it: a job must not lose its attempts there.
+  void FailingWorkers_Quarantine_SparesAttempts() {
+    LoadSetup setup = DayOfTheDraws();
+    setup.failing_workers = 5;
+    const LoadResult result = Play(setup, {});
+    CheckRules(result);
+    std::uint32_t failed = 0;
+    std::uint32_t submitted = 0;
+    for (const auto& [name, it] : result.classes) {
+      failed += it.failed;
+      submitted += it.submitted;
+    }
+    CPPUNIT_ASSERT(failed * 20 < submitted);
+  }
+
+  // Workers that answer as if all were well while their tasks stand still.
+  void HangingWorkers_Standstill_MovesTasks() {
+    LoadSetup setup = DayOfTheDraws();
+    setup.hanging_workers = 5;
+    const LoadResult result = Play(setup, {});
+    CheckRules(result);
+    CPPUNIT_ASSERT(result.classes.at("pairs").InTimeShare() > 0.6);
+  }
+
+ private:
+  static LoadSetup Burst() {
+    LoadSetup setup = DayOfTheDraws();
+    for (LoadClass& it : setup.classes) {
+      it.burst = 2.2;
+      it.burst_at_ms = 5000;
+      it.burst_ms = 6000;
+    }
+    return setup;
+  }
+
+  static void CheckRules(const LoadResult& result) {
+    CPPUNIT_ASSERT(result.overcharged <= 0);
+    CPPUNIT_ASSERT_EQUAL(0U, result.double_runs);
+  }
+
+  static std::uint32_t InTime(const LoadResult& result) {
+    std::uint32_t count = 0;
+    for (const auto& [name, it] : result.classes) count += it.in_time;
+    return count;
+  }
+
+  static std::uint32_t Lost(const LoadResult& result) {
+    std::uint32_t count = 0;
+    for (const auto& [name, it] : result.classes) count += it.Lost();
+    return count;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorstLoadTest);
+
+}  // namespace parsleyline::dispatch
