--- a/tests/dispatch/worst_load_test.cpp
+++ b/tests/dispatch/worst_load_test.cpp
@@ -124,7 +124,7 @@
   // Far more batch work than can ever count: callers must hear it at the door.
   void Flood_Door_RejectsWhatWouldBeLost() {
     LoadSetup setup = DayOfTheDraws();
-    setup.classes = {Checks(30), Draws(1), Pairs(90)};
+    setup.classes = {Checks(30), Draws(1), Pairs(120)};
     setup.length_ms = 12'000;
     const LoadResult door = Play(setup, {});
     Policy open;
