Let an open Raft group replace voters that are gone

Cause: on the platform a core machine may be replaced by one at another address. The new replica became a fourth voter beside the one that never comes back, so the loss of one more stopped the group.

Change: with kAdmitNew a silent voter makes way for a new replica after 3 s and leaves a group of more than three after 8 s; a replica that was removed while it was cut off joins again when it asks for votes.

--- a/src/raft/raft_election.cpp
+++ b/src/raft/raft_election.cpp
@@ -124,6 +124,10 @@
 }
 
 void RaftNode::Impl::OnPreVote(const Message& m) {
+  // A replica that was removed while it was cut off asks for votes when it is back; it joins again.
+  if (phase == Phase::kLeader && log.CurrentConfiguration().Find(m.from) == nullptr) {
+    applicants[m.from.node] = m.from;
+  }
   const bool grant = m.term > hard.term && !HeardFromLeaderRecently() && IsUpToDate(m);
   Message reply = MakeMessage(MessageType::kPreVoteReply, m.from);
   reply.verdict = grant ? Verdict::kAccepted : Verdict::kRejected;
--- a/src/raft/raft_membership.cpp
+++ b/src/raft/raft_membership.cpp
@@ -80,13 +80,18 @@
   std::erase_if(applicants, [&configuration](const auto& applicant) {
     return configuration.Find(applicant.second) != nullptr;
   });
+  if (const auto change = NextMembershipChange()) ChangeMembership(*change);
+}
+
+std::optional<MembershipChange> RaftNode::Impl::NextMembershipChange() const {
+  using Kind = MembershipChange::Kind;
+  const Configuration& configuration = log.CurrentConfiguration();
+  const bool admits_new = options.lost_replicas == LostReplicaPolicy::kAdmitNew;
   for (const auto& [node, replica] : applicants) {
     const bool expected =
-        options.lost_replicas == LostReplicaPolicy::kAdmitNew || configuration.HasNode(node) ||
+        admits_new || configuration.HasNode(node) ||
         std::find(initial_voters.begin(), initial_voters.end(), node) != initial_voters.end();
-    if (!expected) continue;
-    ChangeMembership({MembershipChange::Kind::kAddLearner, replica});
-    return;
+    if (expected) return MembershipChange{Kind::kAddLearner, replica};
   }
   for (const auto& [replica, peer] : progress) {
     const bool live = now - peer.last_contact < options.election_timeout_min;
@@ -96,13 +101,26 @@
                      [&id = replica](const Member& m) {
                        return m.replica.node == id.node && m.replica.identity != id.identity;
                      });
-    const MembershipChange change =
-        old != configuration.members.end()
-            ? MembershipChange{MembershipChange::Kind::kRemove, old->replica}
-            : MembershipChange{MembershipChange::Kind::kPromote, replica};
-    ChangeMembership(change);
-    return;
+    if (old != configuration.members.end()) return MembershipChange{Kind::kRemove, old->replica};
+    const Member* gone = admits_new ? SilentVoter(options.replace_voter_after) : nullptr;
+    if (gone != nullptr) return MembershipChange{Kind::kRemove, gone->replica};
+    return MembershipChange{Kind::kPromote, replica};
+  }
+  // A voter that is gone for good only makes majorities harder to reach.
+  constexpr std::size_t kSmallestGroup = 3;
+  if (!admits_new || configuration.VoterCount() <= kSmallestGroup) return std::nullopt;
+  const Member* gone = SilentVoter(options.drop_voter_after);
+  if (gone == nullptr) return std::nullopt;
+  return MembershipChange{Kind::kRemove, gone->replica};
+}
+
+const Member* RaftNode::Impl::SilentVoter(Milliseconds time) const {
+  for (const Member& it : log.CurrentConfiguration().members) {
+    const auto peer = progress.find(it.replica);
+    if (it.membership != Membership::kVoter || peer == progress.end()) continue;
+    if (now - peer->second.last_contact >= time) return &it;
   }
+  return nullptr;
 }
 
 // A replica without a group asks the others for their identities, or to be admitted.
--- a/src/raft/raft_node_impl.h
+++ b/src/raft/raft_node_impl.h
@@ -116,6 +116,10 @@
   // raft_membership.cpp
   Result<LogIndex> ChangeMembership(const MembershipChange& change);
   Result<Configuration> Changed(const MembershipChange& change) const;
+  /// Returns a voter that has been silent for `time`, or null.
+  const Member* SilentVoter(Milliseconds time) const;
+  /// Returns the change that brings the group closer to its wanted members, if there is one.
+  std::optional<MembershipChange> NextMembershipChange() const;
   std::size_t LiveVoters(const Configuration& configuration) const;
   void MaintainMembership();
   void SendHello();
--- a/src/raft/raft_options.h
+++ b/src/raft/raft_options.h
@@ -53,6 +53,11 @@
   std::size_t max_message_bytes = std::size_t{1} << 20U;
   std::size_t snapshot_chunk_bytes = std::size_t{1} << 20U;
   LostReplicaPolicy lost_replicas = LostReplicaPolicy::kReplace;
+  /// kAdmitNew: a voter that has been silent for this long makes way for a new replica. Longer than
+  /// a restart takes.
+  Milliseconds replace_voter_after{3000};
+  /// kAdmitNew: a voter that has been silent for this long leaves a group of more than three.
+  Milliseconds drop_voter_after{8000};
   TestFault test_fault = TestFault::kNone;
 
   /// Checks each option and how they relate; the message names the option to change.
--- a/tests/raft/raft_fuzz_test.cpp
+++ b/tests/raft/raft_fuzz_test.cpp
@@ -67,6 +67,9 @@
   CPPUNIT_TEST(Group_WithoutChecksum_IsCaught);
   CPPUNIT_TEST(Leader_AfterFollowerWasCutOff_Stays);
   CPPUNIT_TEST(Leader_ThatReceivesNothing_IsReplaced);
+  CPPUNIT_TEST(OpenGroup_RandomFaults_KeepsItsPromises);
+  CPPUNIT_TEST(OpenGroup_VoterSilent_LeavesAndJoinsAgain);
+  CPPUNIT_TEST(OpenGroup_ThreeVoters_KeepsTheSilentOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -112,7 +115,46 @@
     CPPUNIT_ASSERT(!DeafLeaderIsReplaced(TestFault::kNoCheckQuorum));
   }
 
+  void OpenGroup_RandomFaults_KeepsItsPromises() {
+    Simulation::Coverage total;
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         RunSeeds({.policy = LostReplicaPolicy::kAdmitNew}, kSeeds, &total));
+  }
+
+  // Guards against a group whose majority includes voters that never come back.
+  void OpenGroup_VoterSilent_LeavesAndJoinsAgain() {
+    Simulation simulation(11, {.policy = LostReplicaPolicy::kAdmitNew});
+    simulation.Run(Milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, VotersSeenByLeader(simulation));
+    const std::string gone = simulation.Leader() == "a" ? "b" : "a";
+    simulation.Isolate(gone);
+    simulation.Run(Milliseconds(12'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, VotersSeenByLeader(simulation));
+    simulation.Heal();
+    simulation.Run(Milliseconds(5000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, VotersSeenByLeader(simulation));
+  }
+
+  // Guards against a group that shrinks until one more loss stops it.
+  void OpenGroup_ThreeVoters_KeepsTheSilentOne() {
+    Simulation simulation(12, {.policy = LostReplicaPolicy::kAdmitNew});
+    simulation.Run(Milliseconds(3000));
+    std::vector<std::string> others;
+    for (const char* it : {"a", "b", "c", "d", "e"}) {
+      if (it != simulation.Leader()) others.emplace_back(it);
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+      simulation.Isolate(others[i]);
+      simulation.Run(Milliseconds(12'000));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, VotersSeenByLeader(simulation));
+  }
+
  private:
+  static std::size_t VotersSeenByLeader(const Simulation& simulation) {
+    return simulation.Status(simulation.Leader()).configuration.VoterCount();
+  }
+
   // Votes for a in term 5, restarts, and is asked by b for its vote in the same term.
   static bool VotesTwice(TestFault fault) {
     MemoryFileSystem disk;
--- a/tests/raft/simulation.cpp
+++ b/tests/raft/simulation.cpp
@@ -46,6 +46,7 @@
   options.raft.max_in_flight_bytes = 2048;
   options.raft.snapshot_chunk_bytes = 10;
   options.raft.test_fault = faults_.node;
+  options.raft.lost_replicas = faults_.policy;
   replica.applied = LogIndex();
   replica.hash = 0;
   replica.node = std::make_unique<RaftNode>(options, std::move(state), random_(), now_);
--- a/tests/raft/simulation.h
+++ b/tests/raft/simulation.h
@@ -28,6 +28,7 @@
   struct Faults {
     TestFault node = TestFault::kNone;
     ChecksumPolicy checksum = ChecksumPolicy::kVerify;
+    LostReplicaPolicy policy = LostReplicaPolicy::kReplace;
   };
 
   explicit Simulation(std::uint64_t seed) : Simulation(seed, Faults()) {}
