Move tasks off slow and leaving workers

Cause: tasks on workers that turn slow by 6.5 times, or that are taken away at 2 s notice, stayed there until their job was lost or the worker was gone.

Tests: SlowRun_FarBehindItsEstimate_IsMoved and DrainingWorker_RunThatCannotEndThere_IsMoved.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -234,6 +234,7 @@
   if (now >= next_check_) {
     next_check_ = now + kCheckInterval;
     CheckWorkers();
+    WatchRuns();
     ForgetOldJobs();
     RefreshTimedJobs();
     UpdateBacklog();
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -104,7 +104,9 @@
   void SendDueHolds();
   void SendDueStops();
   void CheckWorkers();
-  void StopStandingRuns();
+  /// Stops runs that stand still, are very slow, or will not end before their worker leaves.
+  void WatchRuns();
+  void MoveRun(Worker* worker, Run* run, const char* reason);
   void Reconcile(Worker* worker, const HoldReply& reply, std::uint64_t hold);
   void NoteEnds(Worker* worker, const std::vector<ListedEnd>& finished);
   void NoteActive(Worker* worker, const ActiveRun& active, std::uint64_t hold);
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -22,10 +22,6 @@
 constexpr std::size_t kFailuresToQuarantine = 3;
 constexpr Milliseconds kQuarantine{2000};
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
-// A task that has made no progress for this long is stopped and started elsewhere.
-constexpr Milliseconds kStandstill{2000};
-// The same on a worker where another task has stood still; a little over the time between lists.
-constexpr Milliseconds kStandstillOnSuspect{1200};
 // A worker that has been silent for this long, with no run left, is dropped.
 constexpr Milliseconds kForgetSilent{30'000};
 
@@ -152,41 +148,6 @@
     if (gone && worker.runs.empty()) silent.push_back(id);
   }
   for (const WorkerId& id : silent) EndLifetime(*fleet_.Remove(id), "silent");
-  StopStandingRuns();
-}
-
-void Coordinator::StopStandingRuns() {
-  const TimePoint now = clock_.Now();
-  const auto is = [](const Run& run, job::StepFlag flag) {
-    return (run.flags & static_cast<std::uint32_t>(flag)) != 0;
-  };
-  // The fast members of a gang stand at the end while the slow ones still work.
-  std::map<std::pair<job::StepKey, job::RunNumber>, TimePoint> gang_progress;
-  for (const auto& [id, worker] : fleet_.workers()) {
-    for (const auto& [key, run] : worker.runs) {
-      if (!is(run, job::StepFlag::kGang)) continue;
-      TimePoint& latest = gang_progress[{key.task.step, key.run}];
-      latest = std::max(latest, run.progressed_at);
-    }
-  }
-  for (auto& [id, worker] : fleet_.workers()) {
-    if (worker.failed_holds > 0) continue;
-    for (auto& [key, run] : worker.runs) {
-      if (run.phase != RunPhase::kActive || run.unwanted) continue;
-      if (is(run, job::StepFlag::kLongRunning)) continue;
-      const bool gang = is(run, job::StepFlag::kGang);
-      const TimePoint progress = gang ? gang_progress[{key.task.step, key.run}] : run.progressed_at;
-      const bool suspect = now < worker.quarantined_until;
-      if (now - progress <= (suspect ? kStandstillOnSuspect : kStandstill)) continue;
-      Event("standstill", Severity::kWarning)
-          .With("run", key.task)
-          .With("worker", id)
-          .With("percent", run.percent);
-      run.unwanted = true;
-      if (gang) MarkUnwanted(key.task.step, key.run);
-      Quarantine(&worker, "standstill");
-    }
-  }
 }
 
 Run* Coordinator::FindRun(const job::RunKey& key, Worker** worker) {
@@ -405,7 +366,12 @@
         .With("run", active.run.task)
         .With("number", active.run.run)
         .With("worker", worker->id());
-    Run& run = fleet_.Add(worker, active.run, Resources(), 0);
+    // Its job may have ended, and its demand with it; what is known of it is charged.
+    const job::Job* job = book_.Find(active.run.task.step.job);
+    const std::uint32_t step = active.run.task.step.step;
+    const bool has_spec = job != nullptr && step < job->spec.steps.size();
+    const Resources demand = has_spec ? job->spec.steps[step].demand : Resources();
+    Run& run = fleet_.Add(worker, active.run, demand, 0);
     run.phase = RunPhase::kActive;
     run.unwanted = true;
     run.progressed_at = clock_.Now();
@@ -415,6 +381,7 @@
   Run& run = it->second;
   const bool moved = run.percent != active.percent || run.checkpoint != active.checkpoint;
   run.percent = active.percent;
+  run.percent_at = clock_.Now();
   if (!active.checkpoint.empty()) run.checkpoint = active.checkpoint;
   if (moved || run.phase != RunPhase::kActive) run.progressed_at = clock_.Now();
   if (run.phase == RunPhase::kSent || run.phase == RunPhase::kDoubtful) {
--- a/src/dispatch/fleet.cpp
+++ b/src/dispatch/fleet.cpp
@@ -13,18 +13,21 @@
 constexpr std::uint32_t kMaxFailedHolds = 1;
 
 // Progress below this says too little about the speed of a run.
-constexpr std::uint32_t kMinPercent = 10;
+constexpr std::uint32_t kMinPercent = 5;
 // A run that has outlived its estimate is expected to end after this time.
 constexpr Milliseconds kOverdueRest{200};
 
 }  // namespace
 
+Duration Run::TimeByProgress() const {
+  if (percent < kMinPercent) return Duration(0);
+  return (percent_at - ordered_at) * 100 / std::min<std::uint32_t>(percent, 100);
+}
+
 Duration Run::ExpectedRest(TimePoint now) const {
-  const Duration age = now - ordered_at;
-  const Duration rest = percent >= kMinPercent
-                            ? age * (100 - std::min<std::uint32_t>(percent, 100)) / percent
-                            : estimate - age;
-  return std::max<Duration>(rest, percent >= kMinPercent ? Duration(0) : kOverdueRest);
+  const Duration by_progress = TimeByProgress();
+  const Duration whole = by_progress > Duration(0) ? by_progress : Duration(estimate);
+  return std::max<Duration>(ordered_at + whole - now, kOverdueRest);
 }
 
 bool Worker::HasLabel(const std::string& label) const {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -46,9 +46,13 @@
   bool unwanted = false;
   std::string checkpoint;
   std::uint32_t percent = 0;
+  /// When `percent` was read.
+  TimePoint percent_at;
   /// When `percent` or the checkpoint changed last.
   TimePoint progressed_at;
 
+  /// Returns the time that the whole run takes, going by its progress; 0 if that says too little.
+  Duration TimeByProgress() const;
   /// Returns the time that the run is expected to take from now on.
   Duration ExpectedRest(TimePoint now) const;
 };
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(UnknownRun_InList_IsStopped);
   CPPUNIT_TEST(Standstill_NoProgress_IsStopped);
   CPPUNIT_TEST(StoodStill_LeadershipNotProved_DecidesNothing);
+  CPPUNIT_TEST(SlowRun_FarBehindItsEstimate_IsMoved);
+  CPPUNIT_TEST(DrainingWorker_RunThatCannotEndThere_IsMoved);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
   CPPUNIT_TEST_SUITE_END();
@@ -224,6 +226,32 @@
     CPPUNIT_ASSERT(outbox_->batches.front().IsEmpty());
   }
 
+  // Guards against tasks that crawl on a slow worker until their job is lost.
+  void SlowRun_FarBehindItsEstimate_IsMoved() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+      Advance(500);
+      AnswerHold("w1", {ActiveOf(order.run, i * 5)});
+    }
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+  }
+
+  // Guards against work that is thrown away when its worker leaves.
+  void DrainingWorker_RunThatCannotEndThere_IsMoved() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    AnswerHold("w1", {ActiveOf(order.run, 10)});
+    WorkerReport report = Report("w1");
+    report.state = WorkerState::kDraining;
+    report.drain_remaining = Milliseconds(500);
+    report.sequence = 2;
+    coordinator_->OnReport(report, [](ResultCode) {});
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+  }
+
   // Guards against a leader that stops working for good because its log was busy once.
   void Proposal_LogBusy_IsRepeated() {
     AddWorker("w1");
