--- /dev/null
+++ b/bench/jobs/bench_jobs.cpp
@@ -0,0 +1,77 @@
+#include <chrono>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iomanip>
+#include <iostream>
+#include <string>
+
+#include "base/event_log.h"
+#include "tests/dispatch/load_profiles.h"
+#include "tests/dispatch/load_simulation.h"
+
+// Replays seeded loads against the coordinator in virtual time and compares policies.
+namespace parsleyline::dispatch {
+namespace {
+
+struct NamedPolicy {
+  const char* name;
+  Policy policy;
+};
+
+const NamedPolicy kPolicies[] = {
+    {"in-use", {}},
+    {"arrival", {.order = WaitingOrder::kArrival}},
+    {"priority", {.order = WaitingOrder::kPriority}},
+    {"open-door", {.door = DoorRule::kAcceptAll}},
+    {"gangs-by-chance", {.gangs = GangRule::kWaitForRoom}},
+};
+
+void Print(const std::string& name, const LoadResult& result, double seconds) {
+  std::cout << name << ": processor " << std::fixed << std::setprecision(2) << seconds
+            << " s, starts " << result.starts << ", "
+            << seconds * 1e6 / std::max<std::uint64_t>(result.starts, 1) << " us a start, wasted "
+            << result.wasted_core_seconds << " core-s\n";
+  for (const auto& [kind, it] : result.classes) {
+    std::cout << "  " << std::setw(8) << kind << " submitted " << it.submitted << " in time "
+              << it.in_time << " late " << it.late << " rejected " << it.rejected << " failed "
+              << it.failed << " lost " << it.Lost() << "\n";
+  }
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("bench_jobs", "Replays loads against the job scheduler.");
+  options.add_options()("profile", "draws, lookups, draws-grown or lookups-grown",
+                        cxxopts::value<std::string>()->default_value("draws"))(
+      "policy", "one of the policies, or all", cxxopts::value<std::string>()->default_value("all"))(
+      "burst", "times the rate from 5 s to 11 s", cxxopts::value<double>()->default_value("1"))(
+      "seed", "seed of the load", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "help", "print this text");
+  const auto arguments = options.parse(argc, argv);
+  const auto setup = ProfileOf(arguments["profile"].as<std::string>());
+  if (arguments.count("help") != 0 || !setup) {
+    std::cout << options.help();
+    return setup ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
+  SetMinimumSeverity(Severity::kError);
+  for (const NamedPolicy& it : kPolicies) {
+    const std::string wanted = arguments["policy"].as<std::string>();
+    if (wanted != "all" && wanted != it.name) continue;
+    LoadSetup load = *setup;
+    load.seed = arguments["seed"].as<std::uint64_t>();
+    load.policy = it.policy;
+    for (LoadClass& kind : load.classes) {
+      kind.burst = arguments["burst"].as<double>();
+      kind.burst_at_ms = 5000;
+      kind.burst_ms = 6000;
+    }
+    const std::clock_t begin = std::clock();
+    const LoadResult result = LoadSimulation(load).Run();
+    Print(it.name, result, static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace parsleyline::dispatch
+
+int main(int argc, char** argv) { return parsleyline::dispatch::Main(argc, argv); }
--- a/src/dispatch/advice_table.cpp
+++ b/src/dispatch/advice_table.cpp
@@ -4,47 +4,45 @@
 
 namespace parsleyline::dispatch {
 
-StepAdvice::Verdict StepAdvice::VerdictOf(const job::WorkerLifetime& worker) const {
-  const auto it = entries_.find(worker.worker);
-  if (it == entries_.end()) return Verdict::kUnknown;
-  // A worker that was started again may be of another kind.
-  return it->second.born == worker.born ? it->second.verdict : Verdict::kUnknown;
+StepAdvice::Verdict StepAdvice::VerdictOf(std::uint32_t slot) const {
+  const auto it = entries_.find(slot);
+  return it == entries_.end() ? Verdict::kUnknown : it->second.verdict;
 }
 
-std::string StepAdvice::TicketFor(const job::WorkerLifetime& worker, TimePoint now) const {
-  if (TicketLife(worker, now) <= Duration(0)) return {};
-  return entries_.at(worker.worker).ticket;
+std::string StepAdvice::TicketFor(std::uint32_t slot, TimePoint now) const {
+  if (TicketLife(slot, now) <= Duration(0)) return {};
+  return entries_.at(slot).ticket;
 }
 
-Duration StepAdvice::TicketLife(const job::WorkerLifetime& worker, TimePoint now) const {
-  const auto it = entries_.find(worker.worker);
-  const bool held =
-      it != entries_.end() && it->second.born == worker.born && !it->second.ticket.empty();
-  if (!held) return Duration(0);
+Duration StepAdvice::TicketLife(std::uint32_t slot, TimePoint now) const {
+  const auto it = entries_.find(slot);
+  if (it == entries_.end() || it->second.ticket.empty()) return Duration(0);
   return std::max<Duration>(it->second.valid_until - kTicketMargin - now, Duration(0));
 }
 
-void StepAdvice::Note(const std::vector<job::WorkerLifetime>& asked, const AdviceReply& reply,
+void StepAdvice::Note(const std::vector<AskedWorker>& asked, const AdviceReply& reply,
                       TimePoint now) {
   if (reply.answered == 0) return;
-  for (const job::WorkerLifetime& it : asked) {
-    const auto approval = std::find_if(reply.approvals.begin(), reply.approvals.end(),
-                                       [&it](const Approval& a) { return a.worker == it.worker; });
-    Entry& entry = entries_[it.worker];
-    entry.born = it.born;
-    if (approval == reply.approvals.end()) {
+  std::map<WorkerId, const std::string*> tickets;
+  for (const Approval& it : reply.approvals) tickets[it.worker] = &it.ticket;
+  for (const AskedWorker& it : asked) {
+    Entry& entry = entries_[it.slot];
+    const auto ticket = tickets.find(it.worker);
+    if (ticket == tickets.end()) {
       entry.verdict = Verdict::kRefused;
       entry.ticket.clear();
       continue;
     }
     entry.verdict = Verdict::kApproved;
-    entry.ticket = approval->ticket;
+    entry.ticket = *ticket->second;
     entry.valid_until = now + reply.valid;
+    const auto at = std::lower_bound(approved_.begin(), approved_.end(), it.slot);
+    if (at == approved_.end() || *at != it.slot) approved_.insert(at, it.slot);
   }
 }
 
-void StepAdvice::DropTicket(const job::WorkerLifetime& worker) {
-  const auto it = entries_.find(worker.worker);
+void StepAdvice::DropTicket(std::uint32_t slot) {
+  const auto it = entries_.find(slot);
   if (it != entries_.end()) it->second.ticket.clear();
 }
 
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -16,6 +16,8 @@
 // Callers learn the state of an ended job for this long. A little over the promised 120 s.
 constexpr Milliseconds kEndedRetention{130'000};
 constexpr Milliseconds kCheckInterval{100};
+// Progress is reported once a second, so that looking more often shows nothing new.
+constexpr Milliseconds kWatchInterval{300};
 // A process that has not run for this long may have lost the leadership without having noticed.
 constexpr Milliseconds kStoodStill{700};
 
@@ -76,6 +78,7 @@
   ended_at_.clear();
   timed_jobs_.clear();
   prepared_.clear();
+  stops_due_.clear();
   for (auto& [caller, state] : callers_) state.busy_with.reset();
   batch_ = {};
   std::vector<Durable> unknown = std::move(batch_waiters_);
@@ -234,10 +237,13 @@
   if (now >= next_check_) {
     next_check_ = now + kCheckInterval;
     CheckWorkers();
-    WatchRuns();
     ForgetOldJobs();
     RefreshTimedJobs();
     UpdateBacklog();
+    if (now >= next_watch_) {
+      next_watch_ = now + kWatchInterval;
+      WatchRuns();
+    }
     std::erase_if(callers_, [now](const auto& it) {
       return now - it.second.last_seen > kCallerSilence && !it.second.busy_with;
     });
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -112,7 +112,9 @@
   void NoteActive(Worker* worker, const ActiveRun& active, std::uint64_t hold);
   void RecordEnd(const job::RunKey& key, job::RunEnd end, const std::string& checkpoint);
   void MarkLost(Run* run, const char* reason);
-  void MarkUnwanted(const job::StepKey& step, job::RunNumber run);
+  /// Has a run stopped that must not go on.
+  void MarkUnwanted(Run* run);
+  void MarkGangUnwanted(const job::StepKey& step, job::RunNumber run);
   /// Has the runs of a job stopped, except those of steps with one of the `spared` flags.
   void MarkJobUnwanted(const job::JobId& job, std::uint32_t spared);
   void NoteHealth(Worker* worker, const job::RunKey& key, job::RunEnd end);
@@ -139,6 +141,7 @@
   void Withhold(StepWork* work, PassState* pass);
   /// Asks for new tickets for all reserved workers if one would run out before the room is there.
   void RenewTickets(StepWork* work, Duration wait, PassState* pass);
+  bool IsReservationUsable(const StepWork& work, const PassState& pass) const;
   Duration ExpectedWait(const StepWork& work, const PassState& pass) const;
   void AskAboutUnknown(StepWork* work, PassState* pass);
   void Ask(StepWork* work, std::vector<const Worker*> workers, PassState* pass);
@@ -147,7 +150,7 @@
   std::map<WorkerId, std::uint32_t> RunningByWorker(const job::StepKey& step) const;
   bool IsAnyRunOpen(const job::StepKey& step) const;
   void StartTask(StepWork* work, const job::RunKey& key, const std::string& checkpoint,
-                 const WorkerId& worker, PassState* pass);
+                 Worker* worker, PassState* pass);
   void ForgetOldJobs();
   void Propose();
   void WhenDurable(Durable done);
@@ -169,7 +172,7 @@
     TimePoint last_seen;
     std::optional<job::StepKey> busy_with;
     TimePoint busy_since;
-    std::vector<job::WorkerLifetime> asked;
+    std::vector<AskedWorker> asked;
   };
   std::map<NodeId, Caller> callers_;
   std::map<job::JobId, std::vector<SubmitDone>> submitting_;
@@ -179,6 +182,7 @@
   /// Jobs with occurrences that are not due yet.
   std::set<job::JobId> timed_jobs_;
   TimePoint next_check_;
+  TimePoint next_watch_;
   TimePoint led_since_;
   TimePoint last_tick_;
   /// True after this process stood still, until it has proved that it still leads.
@@ -188,6 +192,8 @@
   std::vector<Durable> batch_waiters_;
   std::map<std::uint64_t, std::vector<Durable>> in_flight_;
   std::uint64_t next_ticket_ = 1;
+  /// Runs that must be stopped, or may have to be.
+  std::set<job::RunKey> stops_due_;
   /// Start orders by run, kept until the record of the start is durable.
   std::map<job::RunKey, StartOrder> prepared_;
   Counts counts_;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -22,8 +22,12 @@
 // A caller that has not answered after this time is asked again.
 constexpr Milliseconds kCallerTimeout{5000};
 constexpr Milliseconds kAskRetry{200};
-// Gangs that may keep room free at once, and the longest time that room is kept for.
-constexpr std::size_t kMaxReservations = 5;
+// Room changes within tens of milliseconds; considering steps without room more often is wasted.
+constexpr Milliseconds kNoRoomRetry{30};
+constexpr Milliseconds kGangRetry{30};
+// Share of the workers that gangs may keep room free on, in thousandths, and the longest time that
+// room is kept for. More would leave room idle that other work needs.
+constexpr std::size_t kMaxReservedPermille = 400;
 constexpr Milliseconds kReservationHorizon{4000};
 // A reservation is made anew if the room is not there this long after it was expected.
 constexpr Milliseconds kReservationSlack{1500};
@@ -114,15 +118,16 @@
 void Coordinator::BeginPass(PassState* pass) {
   pass->now = clock_.Now();
   pass->config = &book_.config();
-  for (const auto& [id, worker] : fleet_.workers()) {
-    if (worker.TakesWork(pass->now)) pass->rooms[id] = {&worker, worker.Free(), false, nullptr};
+  pass->rooms.resize(fleet_.SlotCount());
+  for (auto& [id, worker] : fleet_.workers()) {
+    if (!worker.TakesWork(pass->now)) continue;
+    const Resources free = worker.Free();
+    pass->rooms[worker.slot] = {&worker, free, false, nullptr};
+    pass->open.push_back(worker.slot);
+    pass->largest.RaiseTo(free);
   }
-  for (const auto& [id, room] : pass->rooms) pass->largest.RaiseTo(room.free);
   for (const auto& [key, work] : waiting_) {
-    for (const WorkerId& it : work->reserved) {
-      const auto room = pass->rooms.find(it);
-      if (room != pass->rooms.end()) room->second.reserved_for = work.get();
-    }
+    for (const std::uint32_t it : work->reserved) pass->rooms[it].reserved_for = work.get();
   }
   for (auto& [id, caller] : callers_) {
     if (caller.busy_with && pass->now - caller.busy_since > kCallerTimeout) {
@@ -141,7 +146,7 @@
   if (waiting_.empty()) return;
   PassState pass;
   BeginPass(&pass);
-  if (pass.rooms.empty()) return;
+  if (pass.open.empty()) return;
   std::vector<std::pair<Urgency, StepWork*>> order;
   order.reserve(waiting_.size());
   for (const auto& [key, work] : waiting_) {
@@ -200,20 +205,23 @@
   const job::QueueSettings& queue = *pass.config->Find(work.queue);
   const auto running =
       step.max_per_worker > 0 ? RunningByWorker(work.key) : std::map<WorkerId, std::uint32_t>();
+  const bool by_ticket = queue.needs_ticket != 0;
+  const bool only_approved = by_ticket && rule != TicketRule::kNotRefused;
   std::vector<Candidate> candidates;
-  for (const auto& [id, room] : pass.rooms) {
-    const WorkerReport& report = room.worker->report;
-    if (room.withheld || report.pool != queue.pool) continue;
+  for (const std::uint32_t slot : only_approved ? work.advice.approved() : pass.open) {
+    const PassState::Room& room = pass.rooms[slot];
+    if (room.worker == nullptr || room.withheld || room.worker->report.pool != queue.pool) continue;
     if (step.Has(job::StepFlag::kGang) && room.worker->on_probation) continue;
     if (!step.required_label.empty() && !room.worker->HasLabel(step.required_label)) continue;
-    if (queue.needs_ticket != 0) {
-      const auto verdict = work.advice.VerdictOf(report.lifetime);
-      if (verdict == StepAdvice::Verdict::kRefused) continue;
-      if (rule != TicketRule::kNotRefused && verdict != StepAdvice::Verdict::kApproved) continue;
-      const bool needs_valid = rule == TicketRule::kValidTicket;
-      if (needs_valid && work.advice.TicketFor(report.lifetime, pass.now).empty()) continue;
+    if (by_ticket && !only_approved &&
+        work.advice.VerdictOf(slot) == StepAdvice::Verdict::kRefused) {
+      continue;
     }
-    const auto count = running.find(id);
+    if (by_ticket && rule == TicketRule::kValidTicket &&
+        work.advice.TicketLife(slot, pass.now) <= Duration(0)) {
+      continue;
+    }
+    const auto count = running.find(room.worker->id());
     candidates.push_back({room.worker, room.free, count == running.end() ? 0 : count->second,
                           room.reserved_for != nullptr && room.reserved_for != &work});
   }
@@ -232,7 +240,7 @@
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     const job::TaskState& task = state.tasks[tasks[i]];
     StartTask(work, {{work->key, tasks[i]}, job::RunNumber(task.run.value() + 1)}, task.checkpoint,
-              chosen[i], pass);
+              fleet_.Find(chosen[i]), pass);
   }
   if (chosen.size() == tasks.size()) return;
   if (pass->config->Find(work->queue)->needs_ticket == 0) return;
@@ -245,10 +253,14 @@
   std::vector<Candidate> candidates = Candidates(*work, *pass, TicketRule::kNotRefused);
   std::erase_if(candidates, [&](const Candidate& it) {
     return FitCount(step, it) == 0 ||
-           !work->advice.TicketFor(it.worker->report.lifetime, pass->now).empty();
+           work->advice.TicketLife(it.worker->slot, pass->now) > Duration(0);
   });
+  if (candidates.empty()) {
+    work->next_ask = pass->now + kNoRoomRetry;
+    return;
+  }
   const auto is_approved = [work](const Candidate& it) {
-    return work->advice.VerdictOf(it.worker->report.lifetime) == StepAdvice::Verdict::kApproved;
+    return work->advice.VerdictOf(it.worker->slot) == StepAdvice::Verdict::kApproved;
   };
   std::stable_sort(candidates.begin(), candidates.end(),
                    [&](const Candidate& a, const Candidate& b) {
@@ -285,7 +297,7 @@
   state.asked.clear();
   for (const Worker* it : workers) {
     query.workers.push_back(it->id());
-    state.asked.push_back(it->report.lifetime);
+    state.asked.push_back({it->id(), it->slot});
   }
   work->asking = true;
   ++counts_.advice_calls;
@@ -314,23 +326,29 @@
 }
 
 void Coordinator::ScheduleGang(StepWork* work, PassState* pass) {
+  const bool reserves = IsReservationUsable(*work, *pass);
+  if (!reserves) work->reserved.clear();
+  if (pass->now < work->next_try) return Withhold(work, pass);
   // A gang starts again only when every run of the one before is settled.
   if (IsAnyRunOpen(work->key)) return;
+  work->next_try = pass->now + kGangRetry;
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   const job::QueueSettings& queue = *pass->config->Find(work->queue);
   if (queue.needs_ticket != 0) AskAboutUnknown(work, pass);
   const std::vector<Candidate> approved = Candidates(*work, *pass, TicketRule::kApproved);
   const std::vector<WorkerId> chosen = PlaceGang(step, approved);
   if (chosen.empty()) return ReserveRoom(work, approved, pass);
-  const std::set<WorkerId> distinct(chosen.begin(), chosen.end());
-  const bool has_tickets =
-      queue.needs_ticket == 0 ||
-      std::all_of(distinct.begin(), distinct.end(), [work, pass](const WorkerId& it) {
-        const job::WorkerLifetime& lifetime = pass->rooms[it].worker->report.lifetime;
-        return work->advice.TicketLife(lifetime, pass->now) > Duration(0);
-      });
-  if (!has_tickets) {
-    work->reserved.assign(distinct.begin(), distinct.end());
+  std::vector<Worker*> workers;
+  std::set<std::uint32_t> slots;
+  bool has_tickets = true;
+  for (const WorkerId& it : chosen) {
+    Worker* worker = fleet_.Find(it);
+    workers.push_back(worker);
+    slots.insert(worker->slot);
+    has_tickets = has_tickets && work->advice.TicketLife(worker->slot, pass->now) > Duration(0);
+  }
+  if (queue.needs_ticket != 0 && !has_tickets) {
+    work->reserved.assign(slots.begin(), slots.end());
     work->reserved_until = pass->now + kReservationSlack;
     RenewTickets(work, Duration(0), pass);
     return Withhold(work, pass);
@@ -340,45 +358,46 @@
                                   [](const job::TaskState& it) { return !it.checkpoint.empty(); });
   const std::string checkpoint = saved == state.tasks.end() ? std::string() : saved->checkpoint;
   const job::RunNumber run(state.gang_run.value() + 1);
-  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
-    StartTask(work, {{work->key, i}, run}, checkpoint, chosen[i], pass);
+  for (std::uint32_t i = 0; i < workers.size(); ++i) {
+    StartTask(work, {{work->key, i}, run}, checkpoint, workers[i], pass);
   }
   work->reserved.clear();
 }
 
 // A gang asks about all workers at once: which of them it may use decides where it waits.
 void Coordinator::AskAboutUnknown(StepWork* work, PassState* pass) {
+  const bool first = work->advice.KnownCount() == 0;
+  const bool due = work->reserved.empty() && pass->now >= work->next_unknown_ask;
+  if (work->asking || pass->idle_callers.empty() || (!first && !due)) return;
+  work->next_unknown_ask = pass->now + kAskUnknownInterval;
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   std::vector<const Worker*> unknown;
   for (const Candidate& it : Candidates(*work, *pass, TicketRule::kNotRefused)) {
     const Candidate empty{it.worker, it.worker->report.capacity, 0, false};
-    const auto verdict = work->advice.VerdictOf(it.worker->report.lifetime);
+    const auto verdict = work->advice.VerdictOf(it.worker->slot);
     if (verdict == StepAdvice::Verdict::kUnknown && FitCount(step, empty) > 0) {
       unknown.push_back(it.worker);
     }
   }
-  const bool first = work->advice.KnownCount() == 0;
-  const bool due = work->reserved.empty() && pass->now >= work->next_unknown_ask;
-  if (unknown.empty() || (!first && !due)) return;
-  work->next_unknown_ask = pass->now + kAskUnknownInterval;
   Ask(work, std::move(unknown), pass);
 }
 
+bool Coordinator::IsReservationUsable(const StepWork& work, const PassState& pass) const {
+  return !work.reserved.empty() && pass.now < work.reserved_until &&
+         std::all_of(work.reserved.begin(), work.reserved.end(), [&](std::uint32_t slot) {
+           return pass.rooms[slot].worker != nullptr && !pass.rooms[slot].withheld;
+         });
+}
+
 void Coordinator::ReserveRoom(StepWork* work, const std::vector<Candidate>& approved,
                               PassState* pass) {
   // Work that can no longer count does not keep room from work that can.
   if (policy_.gangs != GangRule::kReserve || work->urgency.prospect == Prospect::kLost ||
-      pass->gangs_waiting >= kMaxReservations) {
+      pass->withheld * kPermille >= pass->open.size() * kMaxReservedPermille) {
     work->reserved.clear();
     return;
   }
-  const bool usable =
-      std::all_of(work->reserved.begin(), work->reserved.end(), [&approved](const WorkerId& id) {
-        return std::any_of(approved.begin(), approved.end(),
-                           [&id](const Candidate& it) { return it.worker->id() == id; });
-      });
-  if (work->reserved.empty() || !usable || pass->now >= work->reserved_until) {
-    work->reserved.clear();
+  if (work->reserved.empty()) {
     const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
     std::vector<Candidate> open = approved;
     std::erase_if(open, [](const Candidate& it) { return it.reserved; });
@@ -386,7 +405,9 @@
     for (const Candidate& it : open) ends_in[it.worker->id()] = it.worker->ExpectedEnds(pass->now);
     const auto reservation = ReserveForGang(step, open, ends_in, kReservationHorizon);
     if (!reservation) return;
-    work->reserved = reservation->workers;
+    for (const WorkerId& it : reservation->workers) {
+      work->reserved.push_back(fleet_.Find(it)->slot);
+    }
     work->reserved_until = pass->now + reservation->wait + kReservationSlack;
   }
   RenewTickets(work, ExpectedWait(*work, *pass), pass);
@@ -394,8 +415,9 @@
 }
 
 void Coordinator::Withhold(StepWork* work, PassState* pass) {
-  ++pass->gangs_waiting;
-  for (const WorkerId& it : work->reserved) {
+  if (work->reserved.empty()) return;
+  pass->withheld += work->reserved.size();
+  for (const std::uint32_t it : work->reserved) {
     pass->rooms[it].withheld = true;
     pass->rooms[it].reserved_for = work;
   }
@@ -405,10 +427,10 @@
   const job::StepSpec& step = book_.Find(work.key.job)->spec.steps[work.key.step];
   std::vector<Candidate> candidates;
   std::map<WorkerId, std::vector<std::pair<Duration, Resources>>> ends_in;
-  for (const WorkerId& it : work.reserved) {
-    const PassState::Room& room = pass.rooms.at(it);
+  for (const std::uint32_t it : work.reserved) {
+    const PassState::Room& room = pass.rooms[it];
     candidates.push_back({room.worker, room.free, 0, false});
-    ends_in[it] = room.worker->ExpectedEnds(pass.now);
+    ends_in[room.worker->id()] = room.worker->ExpectedEnds(pass.now);
   }
   const auto reservation = ReserveForGang(step, candidates, ends_in, kReservationHorizon);
   return reservation ? reservation->wait : Duration(kReservationHorizon);
@@ -419,39 +441,37 @@
   if (queue.needs_ticket == 0) return;
   std::vector<const Worker*> reserved;
   bool runs_out = false;
-  for (const WorkerId& it : work->reserved) {
-    const Worker* worker = pass->rooms[it].worker;
-    reserved.push_back(worker);
-    runs_out = runs_out || work->advice.TicketLife(worker->report.lifetime, pass->now) <= wait;
+  for (const std::uint32_t it : work->reserved) {
+    reserved.push_back(pass->rooms[it].worker);
+    runs_out = runs_out || work->advice.TicketLife(it, pass->now) <= wait;
   }
   const Duration time = AdviceTime(queue.advisor, static_cast<std::int64_t>(reserved.size()));
   if (runs_out && wait <= time + kTicketLead) Ask(work, std::move(reserved), pass);
 }
 
 void Coordinator::StartTask(StepWork* work, const job::RunKey& key, const std::string& checkpoint,
-                            const WorkerId& worker_id, PassState* pass) {
-  Worker* worker = fleet_.Find(worker_id);
+                            Worker* worker, PassState* pass) {
   const job::Job* job = book_.Find(work->key.job);
   const job::StepSpec& step = job->spec.steps[work->key.step];
   Run& run = fleet_.Add(worker, key, step.demand, step.flags);
   run.phase = RunPhase::kProposed;
   run.estimate = step.estimate;
   run.ordered_at = pass->now;
-  run_index_[key] = worker_id;
-  pass->rooms[worker_id].free = worker->Free();
+  run_index_[key] = worker->id();
+  pass->rooms[worker->slot].free = worker->Free();
   StartOrder order;
   order.to = worker->Address();
   order.run = key;
   order.payload = job->spec.payload;
   order.checkpoint = checkpoint;
-  order.ticket = work->advice.TicketFor(worker->report.lifetime, pass->now);
+  order.ticket = work->advice.TicketFor(worker->slot, pass->now);
   order.fence = fence_;
   prepared_[key] = std::move(order);
   batch_.starts.push_back({key.task, key.run, worker->report.lifetime});
   Event("start")
       .With("run", key.task)
       .With("number", key.run)
-      .With("worker", worker_id)
+      .With("worker", worker->id())
       .With("free_cpu", worker->Free().cpu.count())
       .With("waited_ms", (pass->now - work->accepted) / Milliseconds(1));
 }
--- a/src/dispatch/coordinator_watch.cpp
+++ b/src/dispatch/coordinator_watch.cpp
@@ -78,9 +78,8 @@
       .With("reason", reason)
       .With("percent", run->percent)
       .With("age_ms", (clock_.Now() - run->ordered_at) / Milliseconds(1));
-  run->unwanted = true;
-  if (Has(*run, job::StepFlag::kGang)) MarkUnwanted(run->key.task.step, run->key.run);
-  outbox_.WantPump();
+  MarkUnwanted(run);
+  if (Has(*run, job::StepFlag::kGang)) MarkGangUnwanted(run->key.task.step, run->key.run);
 }
 
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -40,7 +40,7 @@
   run.ordered_at = clock_.Now();
   run_index_[key] = worker->id();
   const job::Job* job = book_.Find(open.task.step.job);
-  run.unwanted = job == nullptr || job->HasEnded();
+  if (job == nullptr || job->HasEnded()) MarkUnwanted(&run);
 }
 
 void Coordinator::OnReport(const WorkerReport& report, Durable done) {
@@ -114,18 +114,32 @@
 
 void Coordinator::SendDueStops() {
   const TimePoint now = clock_.Now();
-  for (auto& [id, worker] : fleet_.workers()) {
-    for (auto& [key, run] : worker.runs) {
-      const bool wanted_stop =
-          run.phase == RunPhase::kDoubtful || (run.unwanted && run.phase == RunPhase::kActive);
-      if (!wanted_stop || run.stop_in_flight || now < run.next_stop) continue;
-      run.stop_in_flight = true;
-      Event("stop").With("run", key.task).With("number", key.run).With("worker", id);
-      outbox_.SendStop({worker.Address(), key, fence_});
+  for (auto it = stops_due_.begin(); it != stops_due_.end();) {
+    Worker* worker = nullptr;
+    Run* run = FindRun(*it, &worker);
+    const bool doubtful = run != nullptr && run->phase == RunPhase::kDoubtful;
+    if (run == nullptr || (!doubtful && !run->unwanted)) {
+      it = stops_due_.erase(it);
+      continue;
     }
+    ++it;
+    const bool may_run = doubtful || run->phase == RunPhase::kActive;
+    if (!may_run || run->stop_in_flight || now < run->next_stop) continue;
+    run->stop_in_flight = true;
+    Event("stop")
+        .With("run", run->key.task)
+        .With("number", run->key.run)
+        .With("worker", worker->id());
+    outbox_.SendStop({worker->Address(), run->key, fence_});
   }
 }
 
+void Coordinator::MarkUnwanted(Run* run) {
+  run->unwanted = true;
+  stops_due_.insert(run->key);
+  outbox_.WantPump();
+}
+
 void Coordinator::CheckWorkers() {
   const TimePoint now = clock_.Now();
   std::vector<WorkerId> silent;
@@ -213,6 +227,7 @@
     case OrderOutcome::kUnknown:
       run->phase = RunPhase::kDoubtful;
       run->hold_mark = worker->holds_sent;
+      stops_due_.insert(run->key);
       outbox_.WantPump();
       return;
     case OrderOutcome::kOldRun:
@@ -221,7 +236,7 @@
       return;
     case OrderOutcome::kBadTicket:
       if (const auto it = waiting_.find(order.run.task.step); it != waiting_.end()) {
-        it->second->advice.DropTicket(worker->report.lifetime);
+        it->second->advice.DropTicket(worker->slot);
       }
       break;
     case OrderOutcome::kUnhealthy:
@@ -239,7 +254,7 @@
   run->phase = RunPhase::kEnding;
   RecordEnd(run->key, job::RunEnd::kLost, run->checkpoint);
   if ((run->flags & static_cast<std::uint32_t>(job::StepFlag::kGang)) != 0) {
-    MarkUnwanted(run->key.task.step, run->key.run);
+    MarkGangUnwanted(run->key.task.step, run->key.run);
   }
 }
 
@@ -249,15 +264,14 @@
   outbox_.WantPump();
 }
 
-void Coordinator::MarkUnwanted(const job::StepKey& step, job::RunNumber number) {
+void Coordinator::MarkGangUnwanted(const job::StepKey& step, job::RunNumber number) {
   const job::RunKey first{{step, 0}, job::RunNumber()};
   for (auto it = run_index_.lower_bound(first); it != run_index_.end(); ++it) {
     if (it->first.task.step != step) break;
     Worker* worker = nullptr;
     Run* run = it->first.run == number ? FindRun(it->first, &worker) : nullptr;
-    if (run != nullptr) run->unwanted = true;
+    if (run != nullptr) MarkUnwanted(run);
   }
-  outbox_.WantPump();
 }
 
 void Coordinator::MarkJobUnwanted(const job::JobId& job, std::uint32_t spared) {
@@ -266,9 +280,8 @@
     if (it->first.task.step.job != job) break;
     Worker* worker = nullptr;
     Run* run = FindRun(it->first, &worker);
-    if (run != nullptr && (run->flags & spared) == 0) run->unwanted = true;
+    if (run != nullptr && (run->flags & spared) == 0) MarkUnwanted(run);
   }
-  outbox_.WantPump();
 }
 
 void Coordinator::OnStopReply(const StopOrder& order, const OrderReply& reply) {
@@ -320,11 +333,14 @@
       if (!worker->reconciled && run.phase == RunPhase::kSent) {
         // Ordered by an earlier leader, and not there: the order may still be under way.
         run.phase = RunPhase::kDoubtful;
+        stops_due_.insert(key);
         continue;
       }
       if (run.hold_mark >= hold) continue;
       if (run.phase == RunPhase::kStopped) MarkLost(&run, "not_in_list");
-      if (run.phase == RunPhase::kActive) run.phase = RunPhase::kDoubtful;
+      if (run.phase != RunPhase::kActive) continue;
+      run.phase = RunPhase::kDoubtful;
+      stops_due_.insert(key);
     }
   }
   worker->reconciled = true;
@@ -373,9 +389,9 @@
     const Resources demand = has_spec ? job->spec.steps[step].demand : Resources();
     Run& run = fleet_.Add(worker, active.run, demand, 0);
     run.phase = RunPhase::kActive;
-    run.unwanted = true;
     run.progressed_at = clock_.Now();
     run_index_[active.run] = worker->id();
+    MarkUnwanted(&run);
     return;
   }
   Run& run = it->second;
--- a/src/dispatch/fleet.cpp
+++ b/src/dispatch/fleet.cpp
@@ -84,6 +84,7 @@
   }
   Worker& worker = workers_[report.lifetime.worker];
   worker.report = report;
+  worker.slot = next_slot_++;
   worker.last_report = now;
   worker.draining = report.state == WorkerState::kDraining;
   noted.worker = &worker;
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -60,6 +60,8 @@
 /// One lifetime of a worker, as the leader knows it.
 struct Worker {
   WorkerReport report;
+  /// Number of this lifetime in its fleet; small, and never used again while the fleet lasts.
+  std::uint32_t slot = 0;
   LeaseClock clock;
   TimePoint last_report;
   TimePoint last_answer;
@@ -115,6 +117,8 @@
   std::optional<Worker> Remove(const WorkerId& id);
   Worker* Find(const WorkerId& id);
   const Worker* Find(const WorkerId& id) const;
+  /// Above every slot in use.
+  std::uint32_t SlotCount() const { return next_slot_; }
   std::map<WorkerId, Worker>& workers() { return workers_; }
   const std::map<WorkerId, Worker>& workers() const { return workers_; }
 
@@ -127,6 +131,7 @@
 
  private:
   std::map<WorkerId, Worker> workers_;
+  std::uint32_t next_slot_ = 0;
 };
 
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/placer.cpp
+++ b/src/dispatch/placer.cpp
@@ -47,23 +47,18 @@
 
 std::vector<WorkerId> PlaceTasks(const job::StepSpec& step, std::uint32_t tasks,
                                  std::vector<Candidate> candidates) {
-  std::vector<WorkerId> chosen;
   std::erase_if(candidates, [&step](const Candidate& it) { return FitCount(step, it) == 0; });
-  while (chosen.size() < tasks && !candidates.empty()) {
-    const auto best = std::min_element(candidates.begin(), candidates.end(),
-                                       [&step](const Candidate& a, const Candidate& b) {
-                                         const bool a_far = !IsNearData(step, a);
-                                         const bool b_far = !IsNearData(step, b);
-                                         return std::tuple(a.reserved, a_far, Leftover(step, a)) <
-                                                std::tuple(b.reserved, b_far, Leftover(step, b));
-                                       });
+  const auto rank = [&step](const Candidate& it) {
+    return std::tuple(it.reserved, !IsNearData(step, it), Leftover(step, it));
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&rank](const Candidate& a, const Candidate& b) { return rank(a) < rank(b); });
+  std::vector<WorkerId> chosen;
+  for (const Candidate& it : candidates) {
     // The tightest worker takes tasks until it is full.
-    while (chosen.size() < tasks && FitCount(step, *best) > 0) {
-      chosen.push_back(best->worker->id());
-      best->room -= step.demand;
-      ++best->running;
-    }
-    candidates.erase(best);
+    const std::uint32_t wanted = tasks - static_cast<std::uint32_t>(chosen.size());
+    chosen.insert(chosen.end(), std::min(wanted, FitCount(step, it)), it.worker->id());
+    if (chosen.size() == tasks) break;
   }
   return chosen;
 }
--- a/src/dispatch/step_work.h
+++ b/src/dispatch/step_work.h
@@ -20,29 +20,35 @@
   TimePoint next_unknown_ask;
   /// What the job can still reach, as of the last pass.
   Urgency urgency;
-  /// Workers whose room a gang waits for, and the time at which other workers are considered.
-  std::vector<WorkerId> reserved;
+  /// Slots of the workers whose room a gang waits for, and the time at which others are considered.
+  std::vector<std::uint32_t> reserved;
   TimePoint reserved_until;
+  /// A gang without room is not considered again before this time.
+  TimePoint next_try;
 };
 
 /// What one scheduling pass works with.
 struct Coordinator::PassState {
   TimePoint now;
   const job::CellConfig* config = nullptr;
-  /// Workers that take tasks, with the room that is left in this pass.
+  /// Workers by slot, with the room that is left in this pass. `worker` is null where no worker
+  /// takes tasks.
   struct Room {
-    const Worker* worker = nullptr;
+    Worker* worker = nullptr;
     Resources free;
     /// Kept for a gang that goes before all work that is scheduled later in this pass.
     bool withheld = false;
     /// The gang that this worker is reserved for, or null.
     const StepWork* reserved_for = nullptr;
   };
-  std::map<WorkerId, Room> rooms;
+  std::vector<Room> rooms;
+  /// Slots of the rooms with a worker.
+  std::vector<std::uint32_t> open;
   /// The most of each resource that any worker had free when the pass began. A task that needs more
   /// fits nowhere.
   Resources largest;
-  std::size_t gangs_waiting = 0;
+  /// Workers that gangs keep room free on so far.
+  std::size_t withheld = 0;
   std::vector<NodeId> idle_callers;
 };
 
--- a/tests/dispatch/load_simulation.cpp
+++ b/tests/dispatch/load_simulation.cpp
@@ -171,6 +171,7 @@
 }
 
 void LoadSimulation::SendStart(const StartOrder& order) {
+  ++result_.starts;
   At(kWireMs, [this, order] {
     SimWorker* worker = Find(order.to.lifetime.worker);
     Begin(order.run, worker);
@@ -185,9 +186,8 @@
   if (job == nullptr || job->HasEnded()) return End(worker, key, job::RunEnd::kStopped);
   const job::StepSpec& spec = job->spec.steps[key.task.step.step];
   const LoadClass& kind = setup_.classes[ClassOf(key.task.step.job)];
-  for (const job::RunKey& it : running_) {
-    if (it.task == key.task) ++result_.double_runs;
-  }
+  const auto earlier = running_.lower_bound({key.task, job::RunNumber()});
+  if (earlier != running_.end() && earlier->task == key.task) ++result_.double_runs;
   running_.insert(key);
   // A function of the run, so that it fails under every policy or under none.
   std::mt19937 fate(static_cast<std::uint32_t>(std::hash<std::string>{}(key.task.step.job.value()) +
--- a/tests/dispatch/load_simulation.h
+++ b/tests/dispatch/load_simulation.h
@@ -79,6 +79,7 @@
   /// Most that any worker was charged beyond its capacity, in thousandths of a core.
   std::int64_t overcharged = 0;
   std::uint32_t double_runs = 0;
+  std::uint64_t starts = 0;
 };
 
 /// Runs a coordinator in virtual time against emulated workers, an emulated advisor and seeded
--- a/tests/dispatch/worst_load_test.cpp
+++ b/tests/dispatch/worst_load_test.cpp
@@ -4,66 +4,12 @@
 #include <iostream>
 
 #include "base/event_log.h"
+#include "tests/dispatch/load_profiles.h"
 #include "tests/dispatch/load_simulation.h"
 
 namespace parsleyline::dispatch {
 namespace {
 
-LoadClass Checks(double rate) {
-  LoadClass kind;
-  kind.queue = "checks";
-  kind.priority = 0;
-  kind.rate = rate;
-  kind.mean_tasks = 2;
-  kind.mean_cpu = 5000;
-  kind.mean_ms = 900;
-  kind.slack_factor = 1.5;
-  kind.latency_target_ms = 250;
-  kind.estimate_error = 0.2;
-  kind.advice_ms = 12;
-  kind.advice_ms_per_worker = 0.17;
-  kind.approved = 0.7;
-  return kind;
-}
-
-LoadClass Draws(double rate) {
-  LoadClass kind;
-  kind.queue = "draws";
-  kind.priority = 1;
-  kind.rate = rate;
-  kind.gang = true;
-  kind.mean_tasks = 7;
-  kind.mean_cpu = 16'000;
-  kind.mean_ms = 4500;
-  kind.slack_factor = 2.2;
-  kind.advice_ms = 510;
-  kind.advice_ms_per_worker = 7.3;
-  kind.approved = 0.3;
-  return kind;
-}
-
-LoadClass Pairs(double rate) {
-  LoadClass kind;
-  kind.queue = "pairs";
-  kind.priority = 2;
-  kind.rate = rate;
-  kind.mean_tasks = 10;
-  kind.mean_cpu = 3900;
-  kind.mean_ms = 3000;
-  kind.slack_factor = 4;
-  kind.latency_target_ms = 3000;
-  kind.advice_ms = 82;
-  kind.advice_ms_per_worker = 1.2;
-  kind.approved = 0.45;
-  return kind;
-}
-
-LoadSetup DayOfTheDraws() {
-  LoadSetup setup;
-  setup.classes = {Checks(30), Draws(1.4), Pairs(5)};
-  return setup;
-}
-
 LoadResult Play(LoadSetup setup, Policy policy) {
   if (std::getenv("SIM_LOG") == nullptr) SetMinimumSeverity(Severity::kError);
   setup.policy = policy;
