Tell slow workers by the fleet's pace, and end probation after 6 s

Change: a worker is slow if its tasks take three times as long against their estimates as the median of the workers' tasks do. A worker that finds no work after a quarantine is trusted again after 6 s.

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -106,6 +106,9 @@
   void CheckWorkers();
   /// Stops runs that stand still, are very slow, or will not end before their worker leaves.
   void WatchRuns();
+  /// Returns the workers that are much slower than the fleet, and in `usual_pace` how many times
+  /// their estimates tasks usually take.
+  std::set<WorkerId> SlowWorkers(double* usual_pace) const;
   void MoveRun(Worker* worker, Run* run, const char* reason);
   void Reconcile(Worker* worker, const HoldReply& reply, std::uint64_t hold);
   void NoteEnds(Worker* worker, const std::vector<ListedEnd>& finished);
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -211,7 +211,7 @@
   for (const std::uint32_t slot : only_approved ? work.advice.approved() : pass.open) {
     const PassState::Room& room = pass.rooms[slot];
     if (room.worker == nullptr || room.withheld || room.worker->report.pool != queue.pool) continue;
-    if (step.Has(job::StepFlag::kGang) && room.worker->on_probation) continue;
+    if (step.Has(job::StepFlag::kGang) && room.worker->IsOnProbation(pass.now)) continue;
     if (!step.required_label.empty() && !room.worker->HasLabel(step.required_label)) continue;
     if (by_ticket && !only_approved &&
         work.advice.VerdictOf(slot) == StepAdvice::Verdict::kRefused) {
--- a/src/dispatch/coordinator_watch.cpp
+++ b/src/dispatch/coordinator_watch.cpp
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <set>
 #include <utility>
 
 #include "base/event_log.h"
@@ -14,11 +17,14 @@
 constexpr Milliseconds kStandstill{2000};
 // The same on a worker where another task has stood still; a little over the time between lists.
 constexpr Milliseconds kStandstillOnSuspect{1200};
-// A task is slow if its whole time, going by its progress, is this many times its estimate.
-// Declared times are off by up to 90%, and sound workers differ by a third.
-constexpr int kSlowFactor = 4;
-// Age below which a pace says nothing.
-constexpr Milliseconds kMinAgeForPace{1000};
+// A worker is slow if its tasks take this many times as long, against their estimates, as the tasks
+// of the whole fleet do. Sound workers differ by a third.
+constexpr double kSlowFactor = 3;
+// Tasks of a worker that say something about its pace together; single estimates are off by up to
+// ten times.
+constexpr std::uint32_t kMinRunsForPace = 3;
+// Age below which the pace of a task says nothing.
+constexpr Milliseconds kMinAgeForPace{800};
 // A task is left alone if it ends within this time anyway.
 constexpr Milliseconds kWorthMoving{1500};
 // Time that a draining worker must have left beyond the expected end of a task.
@@ -28,16 +34,49 @@
   return (run.flags & static_cast<std::uint32_t>(flag)) != 0;
 }
 
-bool IsSlow(const Run& run, TimePoint now) {
-  return run.percent_at - run.ordered_at >= kMinAgeForPace &&
-         run.TimeByProgress() > kSlowFactor * Duration(run.estimate) &&
-         run.ExpectedRest(now) > kWorthMoving;
-}
+/// Mean of the logarithms of how many times their estimates tasks take.
+struct PaceMean {
+  double sum = 0;
+  std::uint32_t count = 0;
+
+  void Add(const Run& run) {
+    const Duration whole = run.TimeByProgress();
+    const bool usable = whole > Duration(0) && run.estimate > Milliseconds(0) &&
+                        run.percent_at - run.ordered_at >= kMinAgeForPace;
+    if (!usable) return;
+    sum += std::log(static_cast<double>(whole / Microseconds(1)) /
+                    static_cast<double>(run.estimate / Microseconds(1)));
+    ++count;
+  }
+  double Mean() const { return count == 0 ? 0 : sum / count; }
+};
 
 }  // namespace
 
+std::set<WorkerId> Coordinator::SlowWorkers(double* usual_pace) const {
+  std::vector<std::pair<double, WorkerId>> means;
+  for (const auto& [id, worker] : fleet_.workers()) {
+    PaceMean mean;
+    for (const auto& [key, run] : worker.runs) {
+      if (run.phase == RunPhase::kActive) mean.Add(run);
+    }
+    if (mean.count >= kMinRunsForPace) means.emplace_back(mean.Mean(), id);
+  }
+  std::set<WorkerId> slow;
+  if (means.empty()) return slow;
+  std::sort(means.begin(), means.end());
+  const double median = means[means.size() / 2].first;
+  *usual_pace = std::exp(median);
+  for (const auto& [mean, id] : means) {
+    if (mean - median > std::log(kSlowFactor)) slow.insert(id);
+  }
+  return slow;
+}
+
 void Coordinator::WatchRuns() {
   const TimePoint now = clock_.Now();
+  double usual_pace = 1;
+  const std::set<WorkerId> slow = SlowWorkers(&usual_pace);
   // The fast members of a gang stand at the end while the slow ones still work.
   std::map<std::pair<job::StepKey, job::RunNumber>, TimePoint> gang_progress;
   for (const auto& [id, worker] : fleet_.workers()) {
@@ -49,20 +88,23 @@
   }
   for (auto& [id, worker] : fleet_.workers()) {
     if (worker.failed_holds > 0) continue;
+    if (slow.contains(id)) Quarantine(&worker, "slow");
     for (auto& [key, run] : worker.runs) {
       if (run.phase != RunPhase::kActive || run.unwanted) continue;
       if (Has(run, job::StepFlag::kLongRunning)) continue;
       const bool gang = Has(run, job::StepFlag::kGang);
       const TimePoint progress = gang ? gang_progress[{key.task.step, key.run}] : run.progressed_at;
       const bool suspect = now < worker.quarantined_until;
-      const bool leaves =
-          worker.draining && now + run.ExpectedRest(now) + kDrainMargin > worker.drain_end;
+      const Duration rest = run.ExpectedRest(now);
+      // Started anew on a usual worker, the task would end in half of the time that is left.
+      const auto anew = std::chrono::duration_cast<Duration>(run.estimate * usual_pace);
+      const bool crawls = slow.contains(id) && rest > kWorthMoving && rest > 2 * anew;
+      const bool leaves = worker.draining && now + rest + kDrainMargin > worker.drain_end;
       if (now - progress > (suspect ? kStandstillOnSuspect : kStandstill)) {
         MoveRun(&worker, &run, "standstill");
         Quarantine(&worker, "standstill");
-      } else if (!gang && IsSlow(run, now)) {
+      } else if (crawls) {
         MoveRun(&worker, &run, "slow");
-        Quarantine(&worker, "slow");
       } else if (leaves) {
         MoveRun(&worker, &run, "draining");
       }
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kFailuresToQuarantine = 3;
 constexpr Milliseconds kQuarantine{2000};
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+// A worker without work after a quarantine cannot prove itself, and is trusted again after this.
+constexpr Milliseconds kProbation{6000};
 // A worker that has been silent for this long, with no run left, is dropped.
 constexpr Milliseconds kForgetSilent{30'000};
 
@@ -410,7 +412,7 @@
   if (end == job::RunEnd::kDone) {
     worker->recent_failures.clear();
     worker->quarantines = 0;
-    worker->on_probation = false;
+    worker->probation_until = TimePoint();
     return;
   }
   if (end != job::RunEnd::kFailed) return;
@@ -427,7 +429,7 @@
   const std::uint32_t doublings = std::min(worker->quarantines++, kMaxQuarantineDoublings);
   worker->quarantined_until = now + kQuarantine * (1U << doublings);
   worker->recent_failures.clear();
-  worker->on_probation = true;
+  worker->probation_until = worker->quarantined_until + kProbation;
   Event("worker_quarantined", Severity::kWarning)
       .With("worker", worker->id())
       .With("reason", reason)
--- a/src/dispatch/fleet.cpp
+++ b/src/dispatch/fleet.cpp
@@ -44,7 +44,7 @@
 
 bool Worker::TakesWork(TimePoint now) const {
   if (!reconciled || draining || now < quarantined_until) return false;
-  if (on_probation && !runs.empty()) return false;
+  if (IsOnProbation(now) && !runs.empty()) return false;
   return failed_holds < kMaxFailedHolds && now - std::max(last_report, last_answer) < kSilence;
 }
 
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -84,8 +84,8 @@
   TimePoint drain_end;
   /// No new tasks before this time, after failures.
   TimePoint quarantined_until;
-  /// True from a quarantine to the next success: one task at a time, and no gangs.
-  bool on_probation = false;
+  /// From a quarantine to this time or the next success: one task at a time, and no gangs.
+  TimePoint probation_until;
   /// Jobs whose tasks failed here since the last success.
   std::vector<job::JobId> recent_failures;
   std::uint32_t quarantines = 0;
@@ -96,6 +96,7 @@
   Resources Free() const { return report.capacity - charged; }
   /// Returns when the runs are expected to end and what each then frees, in order of time.
   std::vector<std::pair<Duration, Resources>> ExpectedEnds(TimePoint now) const;
+  bool IsOnProbation(TimePoint now) const { return now < probation_until; }
   /// Tells whether new tasks may be sent here.
   bool TakesWork(TimePoint now) const;
 };
