Ask about a gang's workers in parallel calls; let gangs reserve more of the fleet

Change: a gang asks about eight times the workers that it needs, those with most room first, in calls of 32 at the same time. Gangs may keep room on 70% of the workers.

--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -27,12 +27,17 @@
 constexpr Milliseconds kGangRetry{30};
 // Share of the workers that gangs may keep room free on, in thousandths, and the longest time that
 // room is kept for. More would leave room idle that other work needs.
-constexpr std::size_t kMaxReservedPermille = 400;
+constexpr std::size_t kMaxReservedPermille = 700;
 constexpr Milliseconds kReservationHorizon{4000};
 // A reservation is made anew if the room is not there this long after it was expected.
 constexpr Milliseconds kReservationSlack{1500};
 // Tickets for a reserved gang are fetched so that they arrive about when the room does.
 constexpr Milliseconds kTicketLead{200};
+// How many times the workers that a gang needs it asks about, and how many at least: a third may be
+// approved, and some of these are full.
+constexpr std::size_t kGangChoice = 8;
+constexpr std::size_t kMinGangWorkers = 48;
+constexpr std::size_t kGangWorkersPerCall = 32;
 // A gang without a reservation asks about workers that have joined, at most this often.
 constexpr Milliseconds kAskUnknownInterval{1000};
 
@@ -132,7 +137,7 @@
   for (auto& [id, caller] : callers_) {
     if (caller.busy_with && pass->now - caller.busy_since > kCallerTimeout) {
       if (const auto it = waiting_.find(*caller.busy_with); it != waiting_.end()) {
-        it->second->asking = false;
+        --it->second->calls;
       }
       caller.busy_with.reset();
     }
@@ -248,7 +253,7 @@
 }
 
 void Coordinator::AskAboutRoom(StepWork* work, std::uint32_t tasks, PassState* pass) {
-  if (work->asking || pass->now < work->next_ask || pass->idle_callers.empty()) return;
+  if (work->calls > 0 || pass->now < work->next_ask || pass->idle_callers.empty()) return;
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   std::vector<Candidate> candidates = Candidates(*work, *pass, TicketRule::kNotRefused);
   std::erase_if(candidates, [&](const Candidate& it) {
@@ -281,7 +286,7 @@
 }
 
 void Coordinator::Ask(StepWork* work, std::vector<const Worker*> workers, PassState* pass) {
-  if (work->asking || pass->now < work->next_ask || workers.empty()) return;
+  if (pass->now < work->next_ask || workers.empty()) return;
   if (workers.size() > kMaxWorkersPerCall) workers.resize(kMaxWorkersPerCall);
   const job::QueueSettings& queue = *pass->config->Find(work->queue);
   const Duration time = AdviceTime(queue.advisor, static_cast<std::int64_t>(workers.size()));
@@ -299,7 +304,7 @@
     query.workers.push_back(it->id());
     state.asked.push_back({it->id(), it->slot});
   }
-  work->asking = true;
+  ++work->calls;
   ++counts_.advice_calls;
   outbox_.AskAdvice(caller, query);
 }
@@ -313,7 +318,7 @@
   const auto it = waiting_.find(query.step);
   if (!leads_ || it == waiting_.end()) return;
   StepWork& work = *it->second;
-  work.asking = false;
+  --work.calls;
   work.advice.Note(state.asked, reply, clock_.Now());
   if (reply.answered == 0) work.next_ask = clock_.Now() + kAskRetry;
   Event("advice")
@@ -364,22 +369,37 @@
   work->reserved.clear();
 }
 
-// A gang asks about all workers at once: which of them it may use decides where it waits.
+// A gang asks about several times the workers that it needs, those with most room first, in calls
+// that run at the same time: one call about all of them would take seconds.
 void Coordinator::AskAboutUnknown(StepWork* work, PassState* pass) {
   const bool first = work->advice.KnownCount() == 0;
   const bool due = work->reserved.empty() && pass->now >= work->next_unknown_ask;
-  if (work->asking || pass->idle_callers.empty() || (!first && !due)) return;
+  if (work->calls > 0 || pass->idle_callers.empty() || (!first && !due)) return;
   work->next_unknown_ask = pass->now + kAskUnknownInterval;
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   std::vector<const Worker*> unknown;
+  std::size_t per_worker = 0;
   for (const Candidate& it : Candidates(*work, *pass, TicketRule::kNotRefused)) {
     const Candidate empty{it.worker, it.worker->report.capacity, 0, false};
-    const auto verdict = work->advice.VerdictOf(it.worker->slot);
-    if (verdict == StepAdvice::Verdict::kUnknown && FitCount(step, empty) > 0) {
-      unknown.push_back(it.worker);
-    }
+    const std::size_t fits = FitCount(step, empty);
+    if (work->advice.VerdictOf(it.worker->slot) != StepAdvice::Verdict::kUnknown) continue;
+    if (fits == 0) continue;
+    per_worker = std::max(per_worker, fits);
+    unknown.push_back(it.worker);
+  }
+  if (unknown.empty()) return;
+  std::stable_sort(unknown.begin(), unknown.end(),
+                   [](const Worker* a, const Worker* b) { return a->Free().cpu > b->Free().cpu; });
+  const std::size_t needed = (step.tasks + per_worker - 1) / per_worker;
+  const std::size_t named = std::max(needed * kGangChoice, kMinGangWorkers);
+  if (unknown.size() > named) unknown.resize(named);
+  const std::size_t calls = (unknown.size() + kGangWorkersPerCall - 1) / kGangWorkersPerCall;
+  for (std::size_t i = 0; i < calls; ++i) {
+    const auto at = [&unknown, calls](std::size_t n) {
+      return unknown.begin() + static_cast<std::ptrdiff_t>(unknown.size() * n / calls);
+    };
+    Ask(work, std::vector<const Worker*>(at(i), at(i + 1)), pass);
   }
-  Ask(work, std::move(unknown), pass);
 }
 
 bool Coordinator::IsReservationUsable(const StepWork& work, const PassState& pass) const {
@@ -438,7 +458,7 @@
 
 void Coordinator::RenewTickets(StepWork* work, Duration wait, PassState* pass) {
   const job::QueueSettings& queue = *pass->config->Find(work->queue);
-  if (queue.needs_ticket == 0) return;
+  if (queue.needs_ticket == 0 || work->calls > 0) return;
   std::vector<const Worker*> reserved;
   bool runs_out = false;
   for (const std::uint32_t it : work->reserved) {
--- a/src/dispatch/step_work.h
+++ b/src/dispatch/step_work.h
@@ -15,7 +15,8 @@
   TimePoint accepted;
   Duration objective{0};
   StepAdvice advice;
-  bool asking = false;
+  /// Calls of the advisor that have not been answered.
+  std::int32_t calls = 0;
   TimePoint next_ask;
   TimePoint next_unknown_ask;
   /// What the job can still reach, as of the last pass.
