Learn durations by queue; let patient work stand back for gangs

Change: DurationModel predicts durations from the declared ones as far as these have proved exact. A gang asks about 16 times the workers that it needs. Less urgent tasks with over 5 s of slack wait while a gang keeps room.

--- a/bench/jobs/bench_jobs.cpp
+++ b/bench/jobs/bench_jobs.cpp
@@ -52,7 +52,7 @@
     std::cout << options.help();
     return setup ? EXIT_SUCCESS : EXIT_FAILURE;
   }
-  SetMinimumSeverity(Severity::kError);
+  if (std::getenv("SIM_LOG") == nullptr) SetMinimumSeverity(Severity::kError);
   for (const NamedPolicy& it : kPolicies) {
     const std::string wanted = arguments["policy"].as<std::string>();
     if (wanted != "all" && wanted != it.name) continue;
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -161,8 +161,9 @@
     it->second.push_back(std::move(done));
     return;
   }
-  const Duration chain = WholeChain(spec, queue);
-  const Duration objective = Objective(spec, queue);
+  const DurationModel& durations = durations_[queue.id];
+  const Duration chain = WholeChain(spec, queue, durations);
+  const Duration objective = Objective(spec, queue, durations);
   if (!spec.IsTimed() && policy_.door == DoorRule::kExpectedWait) {
     const Admission admission = Admit(backlog_, queue.priority, chain, objective);
     if (!admission.accepted) {
@@ -176,7 +177,7 @@
           .With("retry_after_ms", admission.retry_after.count());
       return done({ResultCode::kWaitTooLong, admission.retry_after});
     }
-    backlog_.Add(Prospect::kInTime, queue.priority, WorkOf(spec));
+    backlog_.Add(Prospect::kInTime, queue.priority, WorkOf(spec, durations));
   }
   ++counts_.accepted;
   Event("job_accepted")
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -14,6 +14,7 @@
 #include "base/result_code.h"
 #include "dispatch/advice_table.h"
 #include "dispatch/door.h"
+#include "dispatch/duration_model.h"
 #include "dispatch/fleet.h"
 #include "dispatch/messages.h"
 #include "dispatch/placer.h"
@@ -121,6 +122,7 @@
   /// Has the runs of a job stopped, except those of steps with one of the `spared` flags.
   void MarkJobUnwanted(const job::JobId& job, std::uint32_t spared);
   void NoteHealth(Worker* worker, const job::RunKey& key, job::RunEnd end);
+  void NoteDuration(const Run& run, job::RunEnd end);
   void Quarantine(Worker* worker, const char* reason);
   Run* FindRun(const job::RunKey& key, Worker** worker);
   void SendStart(const job::StartRecord& record);
@@ -179,6 +181,8 @@
   };
   std::map<NodeId, Caller> callers_;
   std::map<job::JobId, std::vector<SubmitDone>> submitting_;
+  /// How long tasks take, by queue. Learned anew by each leader.
+  std::map<job::QueueId, DurationModel> durations_;
   Backlog backlog_;
   TimePoint backlog_at_;
   std::map<job::JobId, TimePoint> ended_at_;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "base/event_log.h"
@@ -30,14 +31,17 @@
 constexpr std::size_t kMaxReservedPermille = 700;
 constexpr Milliseconds kReservationHorizon{4000};
 // A reservation is made anew if the room is not there this long after it was expected.
-constexpr Milliseconds kReservationSlack{1500};
+constexpr Milliseconds kReservationSlack{2000};
 // Tickets for a reserved gang are fetched so that they arrive about when the room does.
 constexpr Milliseconds kTicketLead{200};
 // How many times the workers that a gang needs it asks about, and how many at least: a third may be
 // approved, and some of these are full.
-constexpr std::size_t kGangChoice = 8;
-constexpr std::size_t kMinGangWorkers = 48;
-constexpr std::size_t kGangWorkersPerCall = 32;
+constexpr std::size_t kGangChoice = 16;
+constexpr std::size_t kMinGangWorkers = 96;
+constexpr std::size_t kGangWorkersPerCall = 40;
+// Less urgent tasks with more slack than this wait while a gang keeps room: what they would take
+// now is what gangs need, and they can still be in time later.
+constexpr Milliseconds kPatientSlack{5000};
 // A gang without a reservation asks about workers that have joined, at most this often.
 constexpr Milliseconds kAskUnknownInterval{1000};
 
@@ -87,7 +91,6 @@
       job.spec.IsTimed() ? job.spec.DueTime(key.occurrence) : job.accepted_at;
   const Milliseconds age(std::max<std::int64_t>(unix_time_().value() - begin.value(), 0));
   work->accepted = clock_.Now() - age;
-  work->objective = Objective(job.spec, queue);
 }
 
 void Coordinator::RefreshTimedJobs() {
@@ -107,14 +110,16 @@
     const job::QueueSettings* queue = book_.config().Find(job.queue);
     if (queue == nullptr) continue;
     const Duration age = Milliseconds(unix_now.value() - job.accepted_at.value());
-    const Urgency urgency =
-        UrgencyOf(now, now - age, Objective(job.spec, *queue),
-                  RemainingChain(job.spec, job.occurrences.front(), *queue), queue->priority);
+    const DurationModel& durations = durations_[job.queue];
+    const Urgency urgency = UrgencyOf(
+        now, now - age, Objective(job.spec, *queue, durations),
+        RemainingChain(job.spec, job.occurrences.front(), *queue, durations), queue->priority);
     for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
       const job::StepSpec& step = job.spec.steps[i];
       const std::int64_t waiting = job.occurrences.front().steps[i].Waiting();
       backlog_.Add(urgency.prospect, queue->priority,
-                   waiting * step.demand.cpu.count() * step.estimate.count() /
+                   waiting * step.demand.cpu.count() *
+                       (durations.Predict(step.estimate) / Milliseconds(1)) /
                        static_cast<std::int64_t>(kPermille));
     }
   }
@@ -158,9 +163,11 @@
     const job::Job* job = book_.Find(key.job);
     const job::QueueSettings* queue = pass.config->Find(work->queue);
     if (job == nullptr || queue == nullptr) continue;
-    const Duration remaining = RemainingChain(job->spec, job->occurrences[key.occurrence], *queue);
-    work->urgency =
-        UrgencyOf(pass.now, work->accepted, work->objective, remaining, queue->priority);
+    const DurationModel& durations = durations_[work->queue];
+    const Duration remaining =
+        RemainingChain(job->spec, job->occurrences[key.occurrence], *queue, durations);
+    work->urgency = UrgencyOf(pass.now, work->accepted, Objective(job->spec, *queue, durations),
+                              remaining, queue->priority);
     order.emplace_back(Ordered(work->urgency, policy_.order, work->accepted), work.get());
   }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
@@ -237,6 +244,9 @@
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   const bool charged = !step.Has(job::StepFlag::kFillsIdle);
   if (charged && !step.demand.FitsInto(pass->largest)) return;
+  const bool can_wait =
+      work->urgency.prospect == Prospect::kInTime && work->urgency.slack > kPatientSlack;
+  if (can_wait && pass->gang_waits && work->priority > pass->gang_priority) return;
   const std::vector<std::uint32_t> tasks = WaitingTasks(*work);
   if (tasks.empty()) return;
   const auto chosen = PlaceTasks(step, static_cast<std::uint32_t>(tasks.size()),
@@ -435,6 +445,10 @@
 }
 
 void Coordinator::Withhold(StepWork* work, PassState* pass) {
+  if (work->urgency.prospect == Prospect::kInTime) {
+    pass->gang_waits = true;
+    pass->gang_priority = work->priority;
+  }
   if (work->reserved.empty()) return;
   pass->withheld += work->reserved.size();
   for (const std::uint32_t it : work->reserved) {
@@ -475,7 +489,9 @@
   const job::StepSpec& step = job->spec.steps[work->key.step];
   Run& run = fleet_.Add(worker, key, step.demand, step.flags);
   run.phase = RunPhase::kProposed;
-  run.estimate = step.estimate;
+  run.declared = step.estimate;
+  run.estimate =
+      std::chrono::duration_cast<Milliseconds>(durations_[work->queue].Predict(step.estimate));
   run.ordered_at = pass->now;
   run_index_[key] = worker->id();
   pass->rooms[worker->slot].free = worker->Free();
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -362,6 +362,7 @@
     if (run != worker->runs.end()) {
       run->second.phase = RunPhase::kEnding;
       NoteHealth(worker, it.run, it.end);
+      NoteDuration(run->second, it.end);
     }
     RecordEnd(it.run, it.end, it.checkpoint);
   }
@@ -376,6 +377,14 @@
   });
 }
 
+void Coordinator::NoteDuration(const Run& run, job::RunEnd end) {
+  const job::Job* job = book_.Find(run.key.task.step.job);
+  // A run that resumed from a checkpoint or was adopted says nothing about the whole task.
+  const bool whole = run.declared > Milliseconds(0) && run.key.run == job::RunNumber(1);
+  if (end != job::RunEnd::kDone || job == nullptr || !whole) return;
+  durations_[job->queue].Observe(run.declared, clock_.Now() - run.ordered_at);
+}
+
 void Coordinator::NoteActive(Worker* worker, const ActiveRun& active, std::uint64_t hold) {
   auto it = worker->runs.find(active.run);
   if (it == worker->runs.end()) {
--- a/src/dispatch/door.cpp
+++ b/src/dispatch/door.cpp
@@ -9,7 +9,7 @@
 
 // Share of the processors that tasks really use, in thousandths: the rest is lost to fragments,
 // slower workers and the gaps between two tasks.
-constexpr std::int64_t kUsablePermille = 900;
+constexpr std::int64_t kUsablePermille = 850;
 constexpr std::int64_t kPermille = 1000;
 // Bounds of the advice to rejected callers: not at once, and early enough for a second attempt
 // within the usual objectives.
@@ -47,10 +47,10 @@
   return TimeFor(UpTo(in_time, kPriorityLevels - 1) + UpTo(late, Level(priority)));
 }
 
-std::int64_t WorkOf(const job::JobSpec& spec) {
+std::int64_t WorkOf(const job::JobSpec& spec, const DurationModel& durations) {
   std::int64_t millis = 0;
   for (const job::StepSpec& it : spec.steps) {
-    millis += it.demand.cpu.count() * it.tasks * it.estimate.count();
+    millis += it.demand.cpu.count() * it.tasks * (durations.Predict(it.estimate) / Milliseconds(1));
   }
   return millis / kPermille * spec.OccurrenceCount();
 }
--- a/src/dispatch/door.h
+++ b/src/dispatch/door.h
@@ -34,7 +34,7 @@
 };
 
 /// Returns the processor demand of all tasks of a job, in core-milliseconds.
-std::int64_t WorkOf(const job::JobSpec& spec);
+std::int64_t WorkOf(const job::JobSpec& spec, const DurationModel& durations);
 
 /// Decision at the door.
 struct Admission {
--- a/src/dispatch/fleet.h
+++ b/src/dispatch/fleet.h
@@ -33,7 +33,8 @@
   Resources demand;
   std::uint32_t flags = 0;
   RunPhase phase = RunPhase::kProposed;
-  /// Rough duration of the task.
+  /// Duration that the caller declared, and the one that is expected.
+  Milliseconds declared{0};
   Milliseconds estimate{0};
   /// Time of the order, for the age of the run.
   TimePoint ordered_at;
--- a/src/dispatch/step_work.h
+++ b/src/dispatch/step_work.h
@@ -13,7 +13,6 @@
   job::QueueId queue;
   std::uint32_t priority = 0;
   TimePoint accepted;
-  Duration objective{0};
   StepAdvice advice;
   /// Calls of the advisor that have not been answered.
   std::int32_t calls = 0;
@@ -50,6 +49,9 @@
   Resources largest;
   /// Workers that gangs keep room free on so far.
   std::size_t withheld = 0;
+  /// Whether a gang that can be in time keeps room, and the priority of the least urgent such gang.
+  bool gang_waits = false;
+  std::uint32_t gang_priority = 0;
   std::vector<NodeId> idle_callers;
 };
 
--- a/src/dispatch/urgency.cpp
+++ b/src/dispatch/urgency.cpp
@@ -23,10 +23,11 @@
   return longest;
 }
 
-Duration StepTime(const job::StepSpec& step, const job::QueueSettings& queue) {
+Duration StepTime(const job::StepSpec& step, const job::QueueSettings& queue,
+                  const DurationModel& durations) {
   const Duration advice =
       queue.needs_ticket != 0 ? AdviceTime(queue.advisor, kUsualAdviceWorkers) : Duration(0);
-  return step.estimate + advice;
+  return durations.Predict(step.estimate) + advice;
 }
 
 }  // namespace
@@ -36,23 +37,27 @@
 }
 
 Duration RemainingChain(const job::JobSpec& spec, const job::OccurrenceState& occurrence,
-                        const job::QueueSettings& queue) {
+                        const job::QueueSettings& queue, const DurationModel& durations) {
   return LongestChain(
       spec, [&occurrence](std::size_t i) { return occurrence.steps[i].IsDone(); },
-      [&spec, &occurrence, &queue](std::size_t i) {
+      [&](std::size_t i) {
         const bool begun = occurrence.steps[i].Waiting() == 0;
-        return begun ? Duration(spec.steps[i].estimate) : StepTime(spec.steps[i], queue);
+        return begun ? durations.Predict(spec.steps[i].estimate)
+                     : StepTime(spec.steps[i], queue, durations);
       });
 }
 
-Duration WholeChain(const job::JobSpec& spec, const job::QueueSettings& queue) {
+Duration WholeChain(const job::JobSpec& spec, const job::QueueSettings& queue,
+                    const DurationModel& durations) {
   return LongestChain(
       spec, [](std::size_t) { return false; },
-      [&spec, &queue](std::size_t i) { return StepTime(spec.steps[i], queue); });
+      [&](std::size_t i) { return StepTime(spec.steps[i], queue, durations); });
 }
 
-Duration Objective(const job::JobSpec& spec, const job::QueueSettings& queue) {
-  return WholeChain(spec, queue) * queue.slack_permille / kPermille + queue.latency_target;
+Duration Objective(const job::JobSpec& spec, const job::QueueSettings& queue,
+                   const DurationModel& durations) {
+  return WholeChain(spec, queue, durations) * queue.slack_permille / kPermille +
+         queue.latency_target;
 }
 
 Urgency UrgencyOf(TimePoint now, TimePoint accepted, Duration objective, Duration remaining,
--- a/src/dispatch/urgency.h
+++ b/src/dispatch/urgency.h
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "base/clock.h"
+#include "dispatch/duration_model.h"
 #include "dispatch/policy.h"
 #include "job/cell_config.h"
 #include "job/job_book.h"
@@ -21,12 +22,14 @@
 /// Returns the time that the longest chain of dependent steps of `occurrence` still takes on
 /// workers that are free, with one call of the advisor for each step that has not begun.
 Duration RemainingChain(const job::JobSpec& spec, const job::OccurrenceState& occurrence,
-                        const job::QueueSettings& queue);
+                        const job::QueueSettings& queue, const DurationModel& durations);
 /// Returns the longest chain of a job before it begins.
-Duration WholeChain(const job::JobSpec& spec, const job::QueueSettings& queue);
+Duration WholeChain(const job::JobSpec& spec, const job::QueueSettings& queue,
+                    const DurationModel& durations);
 
 /// Returns the time after the submission at which a job stops counting in full.
-Duration Objective(const job::JobSpec& spec, const job::QueueSettings& queue);
+Duration Objective(const job::JobSpec& spec, const job::QueueSettings& queue,
+                   const DurationModel& durations);
 
 /// What a job can still reach.
 enum class Prospect : std::uint8_t { kInTime = 0, kLate = 1, kLost = 2 };
--- a/tests/dispatch/load_profiles.cpp
+++ b/tests/dispatch/load_profiles.cpp
@@ -72,13 +72,16 @@
     setup.classes[2].mean_cpu = 1900;
   }
   if (grown) {
+    for (LoadClass& it : setup.classes) it.estimate_error = 0.9;
     setup.workers = 350;
     setup.callers = 45;
     setup.classes[0].rate = lookups ? 137 : 88;
     setup.classes[0].mean_tasks = 3;
     setup.classes[0].mean_cpu = lookups ? 4500 : 9000;
     setup.classes[1].rate = lookups ? 6 : 4.8;
-    setup.classes[1].mean_tasks = 18;
+    setup.classes[1].mean_tasks = 20;
+    setup.classes[1].mean_cpu = lookups ? 9000 : 18'000;
+    setup.classes[1].mean_ms = lookups ? 4000 : 5000;
     setup.classes[2].rate = lookups ? 9.9 : 7.9;
     setup.classes[2].mean_tasks = 24;
     setup.classes[2].mean_cpu = lookups ? 3300 : 6600;
