--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -143,6 +143,7 @@
                                     TicketRule rule) const;
   void BeginPass(PassState* pass);
   void ReserveRoom(StepWork* work, const std::vector<Candidate>& approved, PassState* pass);
+  void FetchTickets(StepWork* work, const std::vector<WorkerId>& chosen, PassState* pass);
   void Withhold(StepWork* work, PassState* pass);
   /// Asks for new tickets for all reserved workers if one would run out before the room is there.
   void RenewTickets(StepWork* work, Duration wait, PassState* pass);
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -350,35 +350,40 @@
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   const job::QueueSettings& queue = *pass->config->Find(work->queue);
   if (queue.needs_ticket != 0) AskAboutUnknown(work, pass);
-  const std::vector<Candidate> approved = Candidates(*work, *pass, TicketRule::kApproved);
-  const std::vector<WorkerId> chosen = PlaceGang(step, approved);
-  if (chosen.empty()) return ReserveRoom(work, approved, pass);
-  std::vector<Worker*> workers;
-  std::set<std::uint32_t> slots;
-  bool has_tickets = true;
-  for (const WorkerId& it : chosen) {
-    Worker* worker = fleet_.Find(it);
-    workers.push_back(worker);
-    slots.insert(worker->slot);
-    has_tickets = has_tickets && work->advice.TicketLife(worker->slot, pass->now) > Duration(0);
+  // Workers with tickets first: another set of workers, even if tighter, needs another call.
+  std::vector<WorkerId> chosen =
+      PlaceGang(step, Candidates(*work, *pass, TicketRule::kValidTicket));
+  if (chosen.empty() && queue.needs_ticket != 0) {
+    const std::vector<Candidate> approved = Candidates(*work, *pass, TicketRule::kApproved);
+    chosen = PlaceGang(step, approved);
+    if (chosen.empty()) return ReserveRoom(work, approved, pass);
+    return FetchTickets(work, chosen, pass);
   }
-  if (queue.needs_ticket != 0 && !has_tickets) {
-    work->reserved.assign(slots.begin(), slots.end());
-    work->reserved_until = pass->now + kReservationSlack;
-    RenewTickets(work, Duration(0), pass);
-    return Withhold(work, pass);
+  if (chosen.empty()) {
+    return ReserveRoom(work, Candidates(*work, *pass, TicketRule::kApproved), pass);
   }
   const job::StepState& state = *book_.FindStep(work->key);
   const auto saved = std::find_if(state.tasks.begin(), state.tasks.end(),
                                   [](const job::TaskState& it) { return !it.checkpoint.empty(); });
   const std::string checkpoint = saved == state.tasks.end() ? std::string() : saved->checkpoint;
   const job::RunNumber run(state.gang_run.value() + 1);
-  for (std::uint32_t i = 0; i < workers.size(); ++i) {
-    StartTask(work, {{work->key, i}, run}, checkpoint, workers[i], pass);
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    StartTask(work, {{work->key, i}, run}, checkpoint, fleet_.Find(chosen[i]), pass);
   }
   work->reserved.clear();
 }
 
+// Keeps the room that was found while the tickets are fetched.
+void Coordinator::FetchTickets(StepWork* work, const std::vector<WorkerId>& chosen,
+                               PassState* pass) {
+  std::set<std::uint32_t> slots;
+  for (const WorkerId& it : chosen) slots.insert(fleet_.Find(it)->slot);
+  work->reserved.assign(slots.begin(), slots.end());
+  work->reserved_until = pass->now + kReservationSlack;
+  RenewTickets(work, Duration(0), pass);
+  Withhold(work, pass);
+}
+
 // A gang asks about several times the workers that it needs, those with most room first, in calls
 // that run at the same time: one call about all of them would take seconds.
 void Coordinator::AskAboutUnknown(StepWork* work, PassState* pass) {
