Test that a gang starts on the workers whose tickets it holds

The test fails with the mechanism off (workers with valid tickets not tried first). An answer of the advisor also has the gang looked at again at once.

--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -329,6 +329,7 @@
   if (!leads_ || it == waiting_.end()) return;
   StepWork& work = *it->second;
   --work.calls;
+  work.next_try = TimePoint();
   work.advice.Note(state.asked, reply, clock_.Now());
   if (reply.answered == 0) work.next_ask = clock_.Now() + kAskRetry;
   Event("advice")
--- a/tests/dispatch/coordinator_fixture.h
+++ b/tests/dispatch/coordinator_fixture.h
@@ -173,6 +173,18 @@
     }
   }
 
+  /// Answers the last question to the advisor: all workers that it names are approved.
+  void ApproveAll(Milliseconds valid) {
+    CPPUNIT_ASSERT(!outbox_->questions.empty());
+    const auto [caller, query] = outbox_->questions.back();
+    AdviceReply reply;
+    reply.answered = 1;
+    reply.valid = valid;
+    for (const WorkerId& it : query.workers) reply.approvals.push_back({it, "t"});
+    coordinator_->OnAdvice(caller, query, reply);
+    Commit();
+  }
+
   static ListedEnd EndOf(const job::RunKey& run, job::RunEnd end, std::uint64_t number) {
     ListedEnd listed;
     listed.number = EndNumber(number);
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(SlowWorker_FarBehindTheFleet_LosesItsTasks);
   CPPUNIT_TEST(EstimatesTooLow_AllWorkersAlike_NothingMoves);
   CPPUNIT_TEST(DrainingWorker_RunThatCannotEndThere_IsMoved);
+  CPPUNIT_TEST(Gang_TicketsForEnoughWorkers_StartsThere);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
   CPPUNIT_TEST_SUITE_END();
@@ -257,6 +258,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
   }
 
+  // Guards against a gang that fetches tickets over and over, because the tightest workers change
+  // while the advisor answers.
+  void Gang_TicketsForEnoughWorkers_StartsThere() {
+    job::CellConfig config = DefaultConfig();
+    config.version = job::ConfigVersion(2);
+    config.queues[0].needs_ticket = 1;
+    config.queues[0].advisor = {20'000, 200, Milliseconds(1000)};
+    PutConfig(config);
+    coordinator_->NoteCaller(NodeId("c"));
+    AddWorker("w3", 2000);
+    Submit("j", Spec(2, 2000, kGang));
+    ApproveAll(Milliseconds(300));
+    Advance(4000);  // Nobody is left to ask, so that both new workers are asked about together.
+    AnswerHold("w3");
+    AddWorker("w1");
+    AddWorker("w2");
+    coordinator_->NoteCaller(NodeId("c"));
+    Advance(100);
+    ApproveAll(Milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    for (const StartOrder& it : outbox_->starts) {
+      CPPUNIT_ASSERT(it.to.lifetime.worker != WorkerId("w3"));
+    }
+  }
+
   // Guards against a leader that stops working for good because its log was busy once.
   void Proposal_LogBusy_IsRepeated() {
     AddWorker("w1");
