--- a/src/dispatch/door.cpp
+++ b/src/dispatch/door.cpp
@@ -11,6 +11,8 @@
 // slower workers and the gaps between two tasks.
 constexpr std::int64_t kUsablePermille = 850;
 constexpr std::int64_t kPermille = 1000;
+// Waits below this are within the error of the estimate: a few tasks that end sooner undo them.
+constexpr Milliseconds kShortWait{1000};
 // Bounds of the advice to rejected callers: not at once, and early enough for a second attempt
 // within the usual objectives.
 constexpr Milliseconds kMinRetryAfter{500};
@@ -61,6 +63,7 @@
   admission.expected_wait = backlog.WaitInTime(priority);
   const Duration excess = admission.expected_wait - (objective - chain);
   const Duration late_excess = backlog.WaitLate(priority) - (kLateFactor * objective - chain);
+  if (admission.expected_wait < kShortWait) return admission;
   if (excess <= Duration(0) || late_excess <= Duration(0)) return admission;
   admission.accepted = false;
   admission.retry_after =
