Keep the number of voters odd, and answer at once without a leader

Change: an open group promotes a learner only to an odd number of voters, or in place of one that is gone, and drops silent voters only where that makes majorities easier.

Tests: OpenGroup_EvenNumberOfReplicas_KeepsVotersOdd is new. OpenGroup_VoterSilent_LeavesAndJoinsAgain expected that one silent voter of five leaves; that left four voters, which bear no more than five with one gone. Its place takes OpenGroup_TwoVotersSilent_LeaveAndJoinAgain, where the removal keeps the group working.

--- a/src/cell/cell_client.cpp
+++ b/src/cell/cell_client.cpp
@@ -15,9 +15,10 @@
 // A leader that has not answered a call within this time may be cut off; another process is asked.
 constexpr Milliseconds kAttemptTimeout{900};
 constexpr Milliseconds kRetryPause{60};
-// Without an answer for this long the process counts as cut off. Its calls then fail soon, so that
-// callers can turn to another process while their own time lasts.
-constexpr Milliseconds kCutOff{1500};
+// Without an answer of a leader for this long the process counts as cut off. Its calls then fail
+// soon, so that callers learn it and can come back while their own time lasts. Longer than a change
+// of leader takes.
+constexpr Milliseconds kCutOff{2000};
 constexpr Milliseconds kCutOffTimeLimit{400};
 constexpr Milliseconds kPresenceInterval{500};
 constexpr Milliseconds kPresenceRetry{150};
@@ -52,7 +53,8 @@
 
   void Attempt(const std::shared_ptr<Pending>& call) {
     const TimePoint now = clock.Now();
-    const bool cut_off = last_reply != TimePoint() && now - last_reply > kCutOff;
+    // No process answers, or none of them has known a leader for a while.
+    const bool cut_off = last_contact != TimePoint() && now - last_contact > kCutOff;
     if (cut_off) call->deadline = std::min(call->deadline, call->begun + kCutOffTimeLimit);
     const auto left = std::chrono::duration_cast<Milliseconds>(call->deadline - now);
     if (left <= Milliseconds(0)) {
@@ -73,11 +75,9 @@
     if (result) {
       leader = target;
       last_contact = clock.Now();
-      last_reply = last_contact;
       return call->done({std::move(result), true});
     }
     const ResultCode code = result.error().code;
-    if (code == ResultCode::kNotLeader) last_reply = clock.Now();
     const bool not_run = code == ResultCode::kNotLeader || code == ResultCode::kConnectionFailed ||
                          code == ResultCode::kShuttingDown || code == ResultCode::kOverloaded ||
                          code == ResultCode::kNoLeader;
@@ -142,9 +142,8 @@
   std::vector<NodeId> members;
   NodeId leader;
   std::size_t next = 0;
-  /// When the leader, and when any process, answered last.
+  /// When the leader answered last.
   TimePoint last_contact;
-  TimePoint last_reply;
   bool was_connected = false;
   boost::asio::steady_timer presence_timer;
   const SteadyClock clock;
--- a/src/raft/raft_membership.cpp
+++ b/src/raft/raft_membership.cpp
@@ -83,6 +83,8 @@
   if (const auto change = NextMembershipChange()) ChangeMembership(*change);
 }
 
+// An open group keeps an odd number of voters: if the replicas are split into halves, one half of
+// an even number of voters can never be a majority.
 std::optional<MembershipChange> RaftNode::Impl::NextMembershipChange() const {
   using Kind = MembershipChange::Kind;
   const Configuration& configuration = log.CurrentConfiguration();
@@ -93,34 +95,51 @@
         std::find(initial_voters.begin(), initial_voters.end(), node) != initial_voters.end();
     if (expected) return MembershipChange{Kind::kAddLearner, replica};
   }
+  std::vector<ReplicaId> ready;
   for (const auto& [replica, peer] : progress) {
     const bool live = now - peer.last_contact < options.election_timeout_min;
-    if (configuration.IsVoter(replica) || !live || peer.match < commit) continue;
-    const auto old =
-        std::find_if(configuration.members.begin(), configuration.members.end(),
-                     [&id = replica](const Member& m) {
-                       return m.replica.node == id.node && m.replica.identity != id.identity;
-                     });
+    if (!configuration.IsVoter(replica) && live && peer.match >= commit) ready.push_back(replica);
+  }
+  const bool even = configuration.VoterCount() % 2 == 0;
+  for (const ReplicaId& replica : ready) {
+    const auto old = std::find_if(
+        configuration.members.begin(), configuration.members.end(), [&replica](const Member& m) {
+          return m.replica.node == replica.node && m.replica.identity != replica.identity;
+        });
     if (old != configuration.members.end()) return MembershipChange{Kind::kRemove, old->replica};
     const Member* gone = admits_new ? SilentVoter(options.replace_voter_after) : nullptr;
     if (gone != nullptr) return MembershipChange{Kind::kRemove, gone->replica};
+    if (admits_new && !even && ready.size() < 2) continue;
     return MembershipChange{Kind::kPromote, replica};
   }
   // A voter that is gone for good only makes majorities harder to reach.
   constexpr std::size_t kSmallestGroup = 3;
   if (!admits_new || configuration.VoterCount() <= kSmallestGroup) return std::nullopt;
+  if (!even && SilentVoters(options.drop_voter_after) < 2) return std::nullopt;
   const Member* gone = SilentVoter(options.drop_voter_after);
   if (gone == nullptr) return std::nullopt;
   return MembershipChange{Kind::kRemove, gone->replica};
 }
 
+bool RaftNode::Impl::IsSilentVoter(const Member& member, Milliseconds time) const {
+  const auto peer = progress.find(member.replica);
+  return member.membership == Membership::kVoter && peer != progress.end() &&
+         now - peer->second.last_contact >= time;
+}
+
 const Member* RaftNode::Impl::SilentVoter(Milliseconds time) const {
-  for (const Member& it : log.CurrentConfiguration().members) {
-    const auto peer = progress.find(it.replica);
-    if (it.membership != Membership::kVoter || peer == progress.end()) continue;
-    if (now - peer->second.last_contact >= time) return &it;
-  }
-  return nullptr;
+  const auto& members = log.CurrentConfiguration().members;
+  const auto it = std::find_if(members.begin(), members.end(), [this, time](const Member& member) {
+    return IsSilentVoter(member, time);
+  });
+  return it == members.end() ? nullptr : &*it;
+}
+
+std::size_t RaftNode::Impl::SilentVoters(Milliseconds time) const {
+  const auto& members = log.CurrentConfiguration().members;
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(),
+                    [this, time](const Member& member) { return IsSilentVoter(member, time); }));
 }
 
 // A replica without a group asks the others for their identities, or to be admitted.
--- a/src/raft/raft_node_impl.h
+++ b/src/raft/raft_node_impl.h
@@ -118,6 +118,8 @@
   Result<Configuration> Changed(const MembershipChange& change) const;
   /// Returns a voter that has been silent for `time`, or null.
   const Member* SilentVoter(Milliseconds time) const;
+  std::size_t SilentVoters(Milliseconds time) const;
+  bool IsSilentVoter(const Member& member, Milliseconds time) const;
   /// Returns the change that brings the group closer to its wanted members, if there is one.
   std::optional<MembershipChange> NextMembershipChange() const;
   std::size_t LiveVoters(const Configuration& configuration) const;
--- a/src/raft/raft_options.h
+++ b/src/raft/raft_options.h
@@ -56,7 +56,8 @@
   /// kAdmitNew: a voter that has been silent for this long makes way for a new replica. Longer than
   /// a restart takes.
   Milliseconds replace_voter_after{3000};
-  /// kAdmitNew: a voter that has been silent for this long leaves a group of more than three.
+  /// kAdmitNew: a voter that has been silent for this long leaves a group of more than three, if
+  /// the number of voters is even or another one is silent too.
   Milliseconds drop_voter_after{8000};
   TestFault test_fault = TestFault::kNone;
 
--- a/tests/raft/simulation.h
+++ b/tests/raft/simulation.h
@@ -29,6 +29,8 @@
     TestFault node = TestFault::kNone;
     ChecksumPolicy checksum = ChecksumPolicy::kVerify;
     LostReplicaPolicy policy = LostReplicaPolicy::kReplace;
+    /// Replica that is cut off from the start on; empty for none.
+    std::string absent;
   };
 
   explicit Simulation(std::uint64_t seed) : Simulation(seed, Faults()) {}
