Count running work in the wait of late jobs

A late job begins after everything that runs, and the door did not count that.

Change: the wait of late work includes what is left of running tasks. A test of the door for the rule.

--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -86,7 +86,12 @@
   const TimePoint now = clock_.Now();
   backlog_ = {};
   for (const auto& [id, worker] : fleet_.workers()) {
-    if (worker.TakesWork(now)) backlog_.capacity_millis += worker.report.capacity.cpu.count();
+    if (!worker.TakesWork(now)) continue;
+    backlog_.capacity_millis += worker.report.capacity.cpu.count();
+    for (const auto& [key, run] : worker.runs) {
+      backlog_.running += run.demand.cpu.count() * (run.ExpectedRest(now) / Milliseconds(1)) /
+                          static_cast<std::int64_t>(kPermille);
+    }
   }
   const job::UnixMillis unix_now = unix_time_();
   for (const auto& [id, job] : book_.jobs()) {
--- a/src/dispatch/door.cpp
+++ b/src/dispatch/door.cpp
@@ -46,7 +46,7 @@
 }
 
 Duration Backlog::WaitLate(std::uint32_t priority) const {
-  return TimeFor(UpTo(in_time, kPriorityLevels - 1) + UpTo(late, Level(priority)));
+  return TimeFor(running + UpTo(in_time, kPriorityLevels - 1) + UpTo(late, Level(priority)));
 }
 
 std::int64_t WorkOf(const job::JobSpec& spec, const DurationModel& durations) {
--- a/src/dispatch/door.h
+++ b/src/dispatch/door.h
@@ -17,6 +17,8 @@
   /// Work that can still meet its objective, and work that can only be late.
   ByPriority in_time{};
   ByPriority late{};
+  /// What is left of the tasks that run. Work that can only be late begins after it.
+  std::int64_t running = 0;
   /// Thousandths of a core that take new work.
   std::int64_t capacity_millis = 0;
 
--- a/tests/dispatch/door_test.cpp
+++ b/tests/dispatch/door_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(Admit_WaitWithinSlack_Accepts);
   CPPUNIT_TEST(Admit_WaitBeyondWhatCounts_RejectsWithRetryAfter);
   CPPUNIT_TEST(Admit_LateButCounting_Accepts);
+  CPPUNIT_TEST(Admit_LateBehindRunningWork_Rejects);
   CPPUNIT_TEST(Admit_LessUrgentBacklog_DoesNotCount);
   CPPUNIT_TEST(Admit_LostBacklog_DoesNotCount);
   CPPUNIT_TEST(Admit_ShortWaitAndTinyObjective_Accepts);
@@ -44,6 +45,13 @@
     CPPUNIT_ASSERT(Admit(WaitOf(5000), 0, kChain, kObjective).accepted);
   }
 
+  // A late job begins after all that waits and all that runs.
+  void Admit_LateBehindRunningWork_Rejects() {
+    Backlog backlog = WaitOf(5000);
+    backlog.running = 4000 * 85 / 10;
+    CPPUNIT_ASSERT(!Admit(backlog, 0, kChain, kObjective).accepted);
+  }
+
   void Admit_LessUrgentBacklog_DoesNotCount() {
     Backlog backlog = WaitOf(0);
     backlog.Add(Prospect::kInTime, 2, 1'000'000);
