--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -45,17 +45,17 @@
   Resign();
   leads_ = true;
   fence_ = fence;
-  led_since_ = clock_.Now();
-  last_tick_ = led_since_;
+  const TimePoint now = clock_.Now();
+  last_tick_ = now;
   paused_ = false;
   for (const auto& [id, report] : book_.roster()) {
-    Worker* worker = fleet_.Note(report, led_since_).worker;
-    if (worker != nullptr) worker->clock.AssumeLeaseAt(led_since_);
+    Worker* worker = fleet_.Note(report, now).worker;
+    if (worker != nullptr) worker->clock.AssumeLeaseAt(now);
   }
   for (const auto& [key, open] : book_.open_runs()) Adopt(open);
   for (const auto& [id, job] : book_.jobs()) {
     if (job.HasEnded()) {
-      ended_at_[id] = led_since_;
+      ended_at_[id] = now;
     } else {
       RefreshJob(id);
     }
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -185,13 +185,11 @@
   /// How long tasks take, by queue. Learned anew by each leader.
   std::map<job::QueueId, DurationModel> durations_;
   Backlog backlog_;
-  TimePoint backlog_at_;
   std::map<job::JobId, TimePoint> ended_at_;
   /// Jobs with occurrences that are not due yet.
   std::set<job::JobId> timed_jobs_;
   TimePoint next_check_;
   TimePoint next_watch_;
-  TimePoint led_since_;
   TimePoint last_tick_;
   /// True after this process stood still, until it has proved that it still leads.
   bool paused_ = false;
