Add a fault soak of the platform programs and a stand-in of the platform

The real programs were only run by the users' bench. tests/standin_platform speaks the platform's protocol (workers, advisor) and keeps an oracle of the promises; tests/soak starts the programs, drives callers and an operator, and injects faults drawn from a seed. http::Client lets a caller name the Host.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -80,9 +80,10 @@
 }
 
 std::string HeaderText(const ClientRequest& request, const tcp::endpoint& peer) {
-  std::string text = request.method + ' ' + request.target +
-                     " HTTP/1.1\r\nHost: " + peer.address().to_string() + ':' +
-                     std::to_string(peer.port());
+  std::string text = request.method + ' ' + request.target + " HTTP/1.1";
+  if (!request.headers.contains("Host")) {
+    text += "\r\nHost: " + peer.address().to_string() + ':' + std::to_string(peer.port());
+  }
   for (const auto& [name, value] : request.headers) {
     text.append("\r\n").append(name).append(": ").append(value);
   }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -36,6 +36,7 @@
   std::string method = "GET";
   /// Path with query, percent-encoded.
   std::string target;
+  /// "Host" names the peer's address unless it is given here.
   std::map<std::string, std::string> headers;
   std::string body;
   /// If positive, the request fails with Sent::kNo unless it is being sent after this time.
--- a/tests/cell/process.cpp
+++ b/tests/cell/process.cpp
@@ -46,6 +46,14 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool Process::HasEnded() {
+  if (pid_ <= 0) return true;
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return false;
+  pid_ = 0;
+  return true;
+}
+
 void Process::Kill() {
   Signal(SIGKILL);
   Wait();
--- a/tests/cell/process.h
+++ b/tests/cell/process.h
@@ -19,6 +19,8 @@
   void Signal(int signal) const;
   /// Waits for the end and returns the exit status, or -1 if a signal ended the process.
   int Wait();
+  /// Tells without waiting whether the process has ended by itself.
+  bool HasEnded();
   /// Kills the process, as the loss of its VM would.
   void Kill();
   bool running() const { return pid_ > 0; }
--- /dev/null
+++ b/tests/soak/callers.cpp
@@ -0,0 +1,226 @@
+#include "tests/soak/callers.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <cinttypes>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace parsleyline::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kHost[] = "soak.example";
+constexpr milliseconds kCallTimeout{3000};
+constexpr milliseconds kPollInterval{250};
+constexpr milliseconds kRetryPause{150};
+constexpr std::uint32_t kMaxRejections = 3;
+constexpr std::uint32_t kAttempts = 3;
+constexpr std::uint32_t kPermille = 1000;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+struct Queue {
+  const char* name;
+  std::uint32_t priority;
+  bool gang;
+  std::int64_t mean_work_ms;
+  std::int64_t cpu;
+};
+
+constexpr Queue kQueues[] = {{"lookups", 0, false, 200, 1000},
+                             {"gangs", 1, true, 800, 3000},
+                             {"batch", 2, false, 500, 1500}};
+
+}  // namespace
+
+std::string RoutesOf(const std::string& pool, std::uint32_t timeout_ms) {
+  json routes = json::array();
+  for (const Queue& it : kQueues) {
+    routes.push_back(
+        {{"name", it.name},
+         {"host", kHost},
+         {"prefix", '/' + std::string(it.name) + '/'},
+         {"kind", "mutating"},
+         {"timeout-ms", timeout_ms},
+         {"target-latency-ms", 1000},
+         {"priority", it.priority},
+         {"service", pool},
+         {"attempts", kAttempts},
+         {"slack-factor", 4.0},
+         {"advisor", {{"decision-ms", 5.0}, {"per-worker-ms", 0.1}, {"valid-ms", 2000}}}});
+  }
+  return routes.dump();
+}
+
+Callers::Callers(boost::asio::io_context& io, CallerSetup setup, RunOracle& oracle)
+    : io_(io),
+      setup_(std::move(setup)),
+      oracle_(oracle),
+      random_(setup_.seed),
+      next_id_(std::uint64_t{setup_.seed} << 32U) {
+  for (const std::string& it : setup_.entries) {
+    const auto colon = it.rfind(':');
+    http::ClientOptions options;
+    options.max_connections = 256;
+    entries_.push_back(std::make_unique<http::Client>(
+        io_, it.substr(0, colon), static_cast<std::uint16_t>(std::stoul(it.substr(colon + 1))),
+        options));
+  }
+}
+
+Callers::~Callers() = default;
+
+void Callers::After(milliseconds time, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
+  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
+    if (!ec) action();
+  });
+}
+
+void Callers::Start() { Arrive(); }
+
+void Callers::Arrive() {
+  if (!arriving_) return;
+  std::exponential_distribution<double> gap(setup_.jobs_per_second);
+  After(milliseconds(static_cast<std::int64_t>(gap(random_) * 1000)), [this] { Arrive(); });
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016" PRIx64, next_id_++);
+  Job& job = jobs_[id];
+  const std::uint32_t draw = random_() % 10;
+  job.queue = kQueues[draw < 6 ? 0 : draw < 8 ? 1 : 2].name;
+  job.begun = std::chrono::steady_clock::now();
+  job.cancelling = random_() % kPermille < setup_.cancelled_permille;
+  job.body = MakeJob(id, job.queue);
+  Submit(id);
+}
+
+std::string Callers::MakeJob(const std::string& id, const std::string& queue) {
+  const Queue& kind = *std::find_if(std::begin(kQueues), std::end(kQueues),
+                                    [&queue](const Queue& it) { return queue == it.name; });
+  JobSheet sheet;
+  sheet.payload = "payload of " + id;
+  sheet.attempts = kAttempts;
+  json steps = json::array();
+  const std::uint32_t count = 1 + random_() % 2;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    StepSheet step;
+    step.tasks = 1 + static_cast<std::uint32_t>(random_() % setup_.most_tasks);
+    step.cpu = kind.cpu;
+    step.gang = kind.gang;
+    step.work = milliseconds(kind.mean_work_ms / 2 +
+                             static_cast<std::int64_t>(random_() % kind.mean_work_ms));
+    step.after_previous = i > 0;
+    step.hopeless = i == 0 && random_() % kPermille < setup_.hopeless_permille;
+    json body{{"count", step.tasks},
+              {"cpu", step.cpu},
+              {"mem-mb", step.memory_mb},
+              {"estimate-ms", step.work.count()}};
+    if (i > 0) body["depends-on"] = {i - 1};
+    if (step.gang) body["gang"] = true;
+    steps.push_back(std::move(body));
+    sheet.steps.push_back(step);
+  }
+  const std::string payload = sheet.payload;
+  oracle_.NoteJob(id, std::move(sheet));
+  return json{{"spec", payload}, {"job-steps", std::move(steps)}}.dump();
+}
+
+void Callers::Send(const std::string& method, const std::string& id, std::string body,
+                   std::function<void(const http::ClientResult&)> done) {
+  http::ClientRequest request;
+  request.method = method;
+  request.target = '/' + jobs_.at(id).queue + '/' + id;
+  request.headers["Host"] = kHost;
+  request.headers["X-Parsleyline-Deadline-Ms"] = std::to_string(kCallTimeout.count());
+  request.body = std::move(body);
+  entries_[next_entry_++ % entries_.size()]->Send(std::move(request), kCallTimeout,
+                                                  std::move(done));
+}
+
+void Callers::Submit(const std::string& id) {
+  Job& job = jobs_.at(id);
+  ++job.attempts;
+  Send("POST", id, job.body,
+       [this, id](const http::ClientResult& result) { OnSubmitted(id, result); });
+}
+
+void Callers::OnSubmitted(const std::string& id, const http::ClientResult& result) {
+  Job& job = jobs_.at(id);
+  const int status = result ? result->status : 0;
+  if (status >= 200 && status < 300) {
+    job.accepted = true;
+    oracle_.NoteAccepted(id);
+    if (job.cancelling) After(kRetryPause, [this, id] { Cancel(id); });
+    return After(kPollInterval, [this, id] { Poll(id); });
+  }
+  const bool never_sent = !result && result.error().sent == http::Sent::kNo;
+  const bool rejected = status == kTooManyRequests || status == kUnavailable;
+  if (!rejected && !never_sent) job.unclear = true;
+  if (rejected && job.attempts >= kMaxRejections && !job.unclear) {
+    oracle_.NoteRejected(id);
+    jobs_.erase(id);
+    return;
+  }
+  if (status >= 400 && !rejected && status < 500) {
+    oracle_.Breach("WIRE", id + " was answered " + std::to_string(status));
+  }
+  After(kRetryPause * std::min<std::uint32_t>(job.attempts, 8), [this, id] { Submit(id); });
+}
+
+void Callers::Cancel(const std::string& id) {
+  if (!jobs_.contains(id)) return;
+  Send("DELETE", id, "", [this, id](const http::ClientResult& result) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end()) return;
+    const int status = result ? result->status : 0;
+    if ((status >= 200 && status < 300) || status == kGone) {
+      it->second.cancelled = true;
+    } else {
+      After(kRetryPause, [this, id] { Cancel(id); });
+    }
+  });
+}
+
+void Callers::Poll(const std::string& id) {
+  if (!jobs_.contains(id)) return;
+  Send("GET", id, "", [this, id](const http::ClientResult& result) { OnState(id, result); });
+}
+
+void Callers::OnState(const std::string& id, const http::ClientResult& result) {
+  Job& job = jobs_.at(id);
+  const int status = result ? result->status : 0;
+  if (status == kGone) oracle_.Breach("LOST", id + " was accepted and is unknown");
+  const json body = status == 200 ? json::parse(result->body, nullptr, false) : json();
+  const std::string state = body.is_object() ? body.value("state", "") : "";
+  if (status == 200 && state.empty()) oracle_.Breach("WIRE", id + " has no readable state");
+  if (state == "canceled" && !job.cancelling) {
+    oracle_.Breach("LOST", id + " is said to be cancelled and is not");
+  }
+  const bool ended = state == "complete" || state == "failed" || state == "canceled";
+  if (!ended || (job.cancelling && !job.cancelled)) {
+    return After(kPollInterval, [this, id] { Poll(id); });
+  }
+  if (state == "complete") oracle_.NoteComplete(id);
+  if (state == "failed") oracle_.NoteFailed(id);
+  if (state == "canceled") oracle_.NoteCancelled(id);
+  const std::chrono::duration<double, std::milli> took =
+      std::chrono::steady_clock::now() - job.begun;
+  if (state == "complete") {
+    ++complete_;
+    latencies_.push_back(took.count());
+  }
+  jobs_.erase(id);
+}
+
+std::pair<double, double> Callers::Latencies() const {
+  if (latencies_.empty()) return {0, 0};
+  std::vector<double> sorted = latencies_;
+  std::sort(sorted.begin(), sorted.end());
+  return {sorted[sorted.size() / 2], sorted[sorted.size() * 99 / 100]};
+}
+
+}  // namespace parsleyline::testing
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,169 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "tests/soak/callers.h"
+#include "tests/soak/fault_plan.h"
+#include "tests/soak/operator.h"
+#include "tests/soak/processes.h"
+#include "tests/standin_platform/standin_platform.h"
+
+// Runs the real platform programs against a stand-in of the users' platform, injects faults drawn
+// from a seed, and judges the promises from what callers and workers see.
+namespace parsleyline::testing {
+namespace {
+
+// Time after the last fault in which every accepted job must end.
+constexpr milliseconds kSettleTime{40'000};
+constexpr milliseconds kFirstFault{3000};
+constexpr milliseconds kPollInterval{100};
+constexpr std::size_t kPrintedBreaches = 20;
+constexpr std::uint16_t kFirstPort = 20'000;
+constexpr std::uint16_t kPortsPerRun = 8;
+constexpr std::uint16_t kPortRuns = 1000;
+
+struct SoakSetup {
+  std::uint32_t seed = 1;
+  milliseconds length{20'000};
+  std::size_t cores = 3;
+  std::size_t entries = 2;
+  std::size_t workers = 12;
+  double jobs_per_second = 15;
+  std::uint32_t most_tasks = 6;
+  bool faults = true;
+  bool keep = false;
+};
+
+bool RunUntil(boost::asio::io_context& io, SteadyTime deadline,
+              const std::function<bool()>& condition) {
+  while (std::chrono::steady_clock::now() < deadline) {
+    if (condition()) return true;
+    io.run_for(kPollInterval);
+  }
+  return condition();
+}
+
+bool Run(const SoakSetup& setup) {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() /
+      ("parsleyline-soak-" + std::to_string(getpid()) + '-' + std::to_string(setup.seed));
+  std::filesystem::create_directories(folder);
+  boost::asio::io_context io;
+  RunOracle oracle;
+  CellSetup cell;
+  cell.folder = folder.string();
+  cell.cores = setup.cores;
+  cell.entries = setup.entries;
+  cell.base_port = static_cast<std::uint16_t>(
+      kFirstPort + (static_cast<std::uint32_t>(getpid()) % kPortRuns) * kPortsPerRun);
+  Processes processes(io, cell);
+  PlatformSetup fleet;
+  fleet.seed = setup.seed;
+  fleet.workers = setup.workers;
+  for (std::size_t i = 0; i < setup.cores; ++i)
+    fleet.control.push_back(processes.ControlAddress(i));
+  StandinPlatform platform(io, fleet, oracle);
+  Operator config(io, fleet.control, fleet.pool, oracle);
+  CallerSetup load;
+  load.seed = setup.seed;
+  load.jobs_per_second = setup.jobs_per_second;
+  load.most_tasks = setup.most_tasks;
+  for (std::size_t i = 0; i < setup.entries; ++i)
+    load.entries.push_back(processes.CallerAddress(i));
+  Callers callers(io, load, oracle);
+  FaultPlan faults(io, setup.seed, processes, platform, config);
+
+  processes.StartAll(platform.advisor());
+  platform.Start();
+  config.Start();
+  const SteadyTime begun = std::chrono::steady_clock::now();
+  if (!RunUntil(io, begun + kSettleTime, [&] { return config.acknowledged() > 0; })) {
+    oracle.Breach("CONFIG", "the first configuration was not accepted");
+  }
+  callers.Start();
+  io.run_for(kFirstFault);
+  if (setup.faults) faults.Start();
+  io.run_for(setup.length);
+  callers.StopArrivals();
+  faults.Heal();
+  const SteadyTime healed = std::chrono::steady_clock::now();
+  RunUntil(io, healed + kSettleTime, [&] { return callers.open_count() == 0; });
+  for (const std::string& it : oracle.Unfinished()) {
+    oracle.Breach("LOST", it + " was accepted and has not ended");
+  }
+  if (callers.open_count() > 0) {
+    oracle.Breach("LOST", std::to_string(callers.open_count()) + " jobs have no clear answer");
+  }
+  bool read = false;
+  config.ReadBack([&read] { read = true; });
+  if (!RunUntil(io, std::chrono::steady_clock::now() + kSettleTime, [&] { return read; })) {
+    oracle.Breach("CONFIG", "the configuration cannot be read back");
+  }
+  if (processes.late_stops() > 0) oracle.Breach("LOST", "a planned stop took too long");
+  const auto [median, p99] = callers.Latencies();
+  std::cout << "soak seed=" << setup.seed << " accepted=" << oracle.accepted_count()
+            << " complete=" << callers.complete_count() << " rejected=" << oracle.rejected_count()
+            << " starts=" << oracle.started_count() << " config=" << config.acknowledged()
+            << " p50_ms=" << median << " p99_ms=" << p99 << " breaches=" << oracle.breaches().size()
+            << std::endl;
+  if (oracle.breaches().empty() && !setup.keep) {
+    std::filesystem::remove_all(folder);
+    return true;
+  }
+  for (std::size_t i = 0; i < std::min(oracle.breaches().size(), kPrintedBreaches); ++i) {
+    std::cout << "  " << oracle.breaches()[i] << "\n";
+  }
+  for (const std::string& it : faults.log()) std::cout << "  fault at " << it << "\n";
+  std::cout << "  logs are in " << folder.string() << std::endl;
+  return oracle.breaches().empty();
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("platform-soak", "Randomized fault soak of the platform programs.");
+  options.add_options()("seeds", "seeds to run, separated by commas",
+                        cxxopts::value<std::vector<std::uint32_t>>()->default_value("1"))(
+      "seconds", "length of the faults of one seed", cxxopts::value<int>()->default_value("20"))(
+      "cores", "processes with a disk", cxxopts::value<std::size_t>()->default_value("3"))(
+      "entries", "processes that take calls", cxxopts::value<std::size_t>()->default_value("2"))(
+      "workers", "emulated workers", cxxopts::value<std::size_t>()->default_value("12"))(
+      "rate", "jobs a second", cxxopts::value<double>()->default_value("15"))(
+      "tasks", "most tasks of a step", cxxopts::value<std::uint32_t>()->default_value("6"))(
+      "calm", "no faults")("keep", "keep the logs of runs without a breach")("help", "print this");
+  const auto arguments = options.parse(argc, argv);
+  if (arguments.count("help") != 0) {
+    std::cout << options.help();
+    return EXIT_SUCCESS;
+  }
+  SetMinimumSeverity(Severity::kError);
+  SoakSetup setup;
+  setup.length = std::chrono::seconds(arguments["seconds"].as<int>());
+  setup.cores = arguments["cores"].as<std::size_t>();
+  setup.entries = arguments["entries"].as<std::size_t>();
+  setup.workers = arguments["workers"].as<std::size_t>();
+  setup.jobs_per_second = arguments["rate"].as<double>();
+  setup.most_tasks = arguments["tasks"].as<std::uint32_t>();
+  setup.faults = arguments.count("calm") == 0;
+  setup.keep = arguments.count("keep") != 0;
+  std::size_t failed = 0;
+  for (const std::uint32_t seed : arguments["seeds"].as<std::vector<std::uint32_t>>()) {
+    setup.seed = seed;
+    if (!Run(setup)) ++failed;
+  }
+  std::cout << "soak: " << failed << " seeds failed" << std::endl;
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace parsleyline::testing
+
+int main(int argc, char** argv) { return parsleyline::testing::Main(argc, argv); }
--- /dev/null
+++ b/tests/soak/operator.cpp
@@ -0,0 +1,104 @@
+#include "tests/soak/operator.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "tests/soak/callers.h"
+
+namespace parsleyline::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kPath[] = "/parsleyline/config";
+constexpr milliseconds kCallTimeout{1000};
+constexpr milliseconds kRetryPause{200};
+constexpr milliseconds kReadInterval{500};
+constexpr std::uint32_t kTimeoutMs = 3000;
+
+}  // namespace
+
+Operator::Operator(boost::asio::io_context& io, const std::vector<std::string>& control,
+                   std::string pool, RunOracle& oracle)
+    : io_(io), pool_(std::move(pool)), oracle_(oracle) {
+  for (const std::string& it : control) {
+    const auto colon = it.rfind(':');
+    control_.push_back(std::make_unique<http::Client>(
+        io_, it.substr(0, colon), static_cast<std::uint16_t>(std::stoul(it.substr(colon + 1)))));
+  }
+}
+
+Operator::~Operator() = default;
+
+void Operator::After(milliseconds time, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
+  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
+    if (!ec) action();
+  });
+}
+
+void Operator::Send(const std::string& method, std::string body,
+                    std::function<void(const http::ClientResult&)> done) {
+  http::ClientRequest request;
+  request.method = method;
+  request.target = kPath;
+  request.body = std::move(body);
+  control_[next_++ % control_.size()]->Send(std::move(request), kCallTimeout, std::move(done));
+}
+
+void Operator::Start() {
+  Change();
+  Read();
+}
+
+void Operator::Change() {
+  if (acknowledged_ < version_) return;
+  version_ += 1 + version_ % 3;
+  Put();
+}
+
+void Operator::Put() {
+  const std::uint64_t version = version_;
+  const json body{
+      {"version", version},
+      {"routes",
+       json::parse(RoutesOf(pool_, kTimeoutMs + static_cast<std::uint32_t>(version % 5)))},
+      {"services", {{{"name", pool_}, {"enforce-capacity", false}, {"standby", false}}}},
+      {"limits", json::object()}};
+  Send("PUT", body.dump(), [this, version](const http::ClientResult& result) {
+    const int status = result ? result->status : 0;
+    if (status == 200) {
+      acknowledged_ = version;
+      return;
+    }
+    if (status >= 400 && status < 500) {
+      oracle_.Breach("CONFIG", "version " + std::to_string(version) + " was answered " +
+                                   std::to_string(status));
+    }
+    After(kRetryPause, [this] { Put(); });
+  });
+}
+
+void Operator::Read() {
+  ReadBack([this] { After(kReadInterval, [this] { Read(); }); });
+}
+
+void Operator::ReadBack(std::function<void()> done) {
+  const std::uint64_t oldest = acknowledged_;
+  Send("GET", "", [this, oldest, done = std::move(done)](const http::ClientResult& result) mutable {
+    if (!result || result->status != 200) {
+      return After(kRetryPause, [this, done = std::move(done)] { ReadBack(done); });
+    }
+    const json body = json::parse(result->body, nullptr, false);
+    const std::uint64_t found =
+        body.is_object() ? body.value("version", std::uint64_t{0}) : std::uint64_t{0};
+    if (found < oldest || found > version_) {
+      oracle_.Breach("CONFIG", "version " + std::to_string(found) + " was read after " +
+                                   std::to_string(oldest) + " was acknowledged");
+    }
+    done();
+  });
+}
+
+}  // namespace parsleyline::testing
--- /dev/null
+++ b/tests/soak/operator.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "tests/standin_platform/run_oracle.h"
+
+namespace parsleyline::testing {
+
+using std::chrono::milliseconds;
+
+/// The operator: sends configurations with rising versions, each until it is acknowledged, and
+/// reads back what is in force.
+class Operator {
+ public:
+  Operator(boost::asio::io_context& io, const std::vector<std::string>& control, std::string pool,
+           RunOracle& oracle);
+  ~Operator();
+
+  /// Sends the first configuration.
+  void Start();
+  /// Sends the next version unless one is under way.
+  void Change();
+  /// Reads the configuration until some process answers; `done` runs after a read that was sent
+  /// after the call.
+  void ReadBack(std::function<void()> done);
+  std::uint64_t acknowledged() const { return acknowledged_; }
+
+ private:
+  void Put();
+  void Read();
+  void Send(const std::string& method, std::string body,
+            std::function<void(const http::ClientResult&)> done);
+  void After(milliseconds time, std::function<void()> action);
+
+  boost::asio::io_context& io_;
+  std::vector<std::unique_ptr<http::Client>> control_;
+  const std::string pool_;
+  RunOracle& oracle_;
+  std::uint64_t version_ = 0;
+  std::uint64_t acknowledged_ = 0;
+  std::size_t next_ = 0;
+};
+
+}  // namespace parsleyline::testing
--- /dev/null
+++ b/tests/soak/processes.cpp
@@ -0,0 +1,146 @@
+#include "tests/soak/processes.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace parsleyline::testing {
+namespace {
+
+using nlohmann::json;
+
+// The platform kills a process that has not ended this long after SIGTERM.
+constexpr milliseconds kStopGrace{6000};
+constexpr milliseconds kStopPoll{50};
+constexpr std::uint16_t kCallerPort = 1;
+constexpr std::uint16_t kReadyPort = 2;
+constexpr std::uint16_t kControlPort = 3;
+
+}  // namespace
+
+Processes::Processes(boost::asio::io_context& io, CellSetup setup)
+    : io_(io), setup_(std::move(setup)) {
+  for (std::size_t i = 0; i < setup_.cores + setup_.entries; ++i) {
+    Node node;
+    node.name = (IsCore(i) ? "core-" : "entry-") + std::to_string(i);
+    node.ip = "127.1.0." + std::to_string(i + 1);
+    node.process = std::make_unique<cell::Process>(
+        std::vector<std::string>{
+            "/usr/bin/env", "PARSLEYLINE_NODE_FILE=" + setup_.folder + '/' + node.name + ".json",
+            PARSLEYLINE_PROGRAM, IsCore(i) ? "core" : "entry"},
+        setup_.folder + '/' + node.name + ".log");
+    nodes_.push_back(std::move(node));
+  }
+}
+
+std::string Processes::ControlAddress(std::size_t core) const {
+  return nodes_[core].ip + ':' + std::to_string(setup_.base_port + kControlPort);
+}
+
+std::string Processes::CallerAddress(std::size_t entry) const {
+  return nodes_[setup_.cores + entry].ip + ':' + std::to_string(setup_.base_port + kCallerPort);
+}
+
+void Processes::After(milliseconds time, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
+  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
+    if (!ec) action();
+  });
+}
+
+void Processes::WriteSettings(std::size_t number) {
+  const Node& node = nodes_[number];
+  json seeds = json::array();
+  for (std::size_t i = 0; i < setup_.cores && i < 3; ++i) seeds.push_back(ControlAddress(i));
+  json settings{{"node-name", node.name},
+                {"ip", node.ip},
+                {"zone", "z" + std::to_string(number % 2)},
+                {"internal-ports", {setup_.base_port, setup_.base_port}},
+                {"seeds", seeds},
+                {"bootstrap", node.first_start},
+                {"advisor", setup_.advisor},
+                {"bounds", {{"grace-s", 6}, {"hold-max-ms", 10000}}}};
+  if (IsCore(number)) {
+    settings["listen"] = {{"control", ControlAddress(number)}};
+    settings["data-dir"] = setup_.folder + '/' + node.name;
+  } else {
+    settings["listen"] = {{"front", CallerAddress(number - setup_.cores)},
+                          {"ready", node.ip + ':' + std::to_string(setup_.base_port + kReadyPort)}};
+  }
+  std::ofstream(setup_.folder + '/' + node.name + ".json") << settings.dump();
+}
+
+void Processes::Start(std::size_t number) {
+  Node& node = nodes_[number];
+  if (node.up) return;
+  if (IsCore(number)) std::filesystem::create_directories(setup_.folder + '/' + node.name);
+  WriteSettings(number);
+  node.process->Start();
+  node.up = true;
+}
+
+void Processes::StartAll(const std::string& advisor) {
+  setup_.advisor = advisor;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Start(i);
+    nodes_[i].first_start = false;
+  }
+}
+
+void Processes::Kill(std::size_t number) {
+  Node& node = nodes_[number];
+  if (!node.up) return;
+  node.process->Kill();
+  node.up = false;
+  node.paused = false;
+}
+
+void Processes::Wipe(std::size_t number) {
+  Kill(number);
+  std::filesystem::remove_all(setup_.folder + '/' + nodes_[number].name);
+}
+
+void Processes::Pause(std::size_t number) {
+  if (!nodes_[number].up) return;
+  nodes_[number].process->Signal(SIGSTOP);
+  nodes_[number].paused = true;
+}
+
+void Processes::Resume(std::size_t number) {
+  if (!nodes_[number].up) return;
+  nodes_[number].process->Signal(SIGCONT);
+  nodes_[number].paused = false;
+}
+
+void Processes::Hangup(std::size_t number) {
+  if (nodes_[number].up) nodes_[number].process->Signal(SIGHUP);
+}
+
+void Processes::Replace(std::size_t number) {
+  Node& node = nodes_[number];
+  if (!node.up || node.paused) return;
+  node.process->Signal(SIGTERM);
+  AwaitStop(number, std::chrono::steady_clock::now() + kStopGrace);
+}
+
+void Processes::AwaitStop(std::size_t number, std::chrono::steady_clock::time_point deadline) {
+  Node& node = nodes_[number];
+  if (!node.up) return;
+  if (node.process->HasEnded()) {
+    node.up = false;
+    return Start(number);
+  }
+  // A pause that came in between takes from the time, as on the platform.
+  if (std::chrono::steady_clock::now() > deadline) {
+    if (!node.paused) ++late_stops_;
+    Kill(number);
+    return Start(number);
+  }
+  After(kStopPoll, [this, number, deadline] { AwaitStop(number, deadline); });
+}
+
+}  // namespace parsleyline::testing
