Write the log of daemons in batches from a thread of its own, within limits

Change: LogWriter collects lines and writes them every 100 ms to standard output; 1 MiB a second (2 MiB for warnings), what exceeds it is counted in a line, and a reader that stands still blocks nobody. Programs that are not daemons go on using glog.

--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -1,15 +1,22 @@
 #include "base/event_log.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <memory>
+
+#include "base/log_writer.h"
 
 namespace parsleyline {
 namespace {
 
 std::atomic<Severity> minimum_severity{Severity::kInfo};
+/// Set in daemons. Flushed when the process exits.
+std::unique_ptr<LogWriter> log_writer;
+constexpr std::string_view kLevels[] = {"info", "warning", "error"};
 
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char c) {
@@ -44,6 +51,11 @@
 
 Event::~Event() {
   if (severity_ < minimum_severity.load(std::memory_order_relaxed)) return;
+  if (log_writer != nullptr) {
+    const std::string_view level = kLevels[static_cast<std::size_t>(severity_)];
+    log_writer->Write(level, line_, severity_ != Severity::kInfo);
+    return;
+  }
   switch (severity_) {
     case Severity::kInfo:
       LOG(INFO) << line_;
@@ -73,6 +85,13 @@
   google::InitGoogleLogging(program);
 }
 
+void StartDaemonLog(const char* program) {
+  InitLogging(program);
+  log_writer = std::make_unique<LogWriter>(STDOUT_FILENO);
+}
+
+std::uint64_t LogLinesLeftOut() { return log_writer == nullptr ? 0 : log_writer->left_out(); }
+
 void SetMinimumSeverity(Severity severity) { minimum_severity = severity; }
 
 namespace internal {
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace parsleyline {
 
@@ -23,9 +24,13 @@
 
   template <typename T>
   Event& With(std::string_view key, const T& value) {
-    std::ostringstream text;
-    text << value;
-    Append(key, text.str());
+    if constexpr (std::is_integral_v<T>) {
+      Append(key, std::to_string(value));
+    } else {
+      std::ostringstream text;
+      text << value;
+      Append(key, text.str());
+    }
     return *this;
   }
   Event& With(std::string_view key, const std::string& value) {
@@ -48,9 +53,16 @@
   Severity severity_;
 };
 
-/// Initialises glog for a daemon: lines go to standard error.
+/// Initialises glog for a program: lines go to standard error.
 void InitLogging(const char* program);
 
+/// The same for a daemon, whose lines go to standard output through a LogWriter. Call it once,
+/// before other threads log.
+void StartDaemonLog(const char* program);
+
+/// Lines that the limits of the daemon's log have left out.
+std::uint64_t LogLinesLeftOut();
+
 /// Discards events below `severity` in this process. Benchmarks use it.
 void SetMinimumSeverity(Severity severity);
 
--- a/src/runtime/daemon_main.h
+++ b/src/runtime/daemon_main.h
@@ -26,7 +26,7 @@
     return kBadSettings;
   }
   if (arguments->check_only) return EXIT_SUCCESS;
-  InitLogging(argv[0]);
+  StartDaemonLog(argv[0]);
   return run(*settings);
 }
 
