Count jobs whose only start was lost as waiting

A start that is lost on its way (its leader killed before it was sent, or refused by the worker) left the job out of the count of waiting jobs for good, while no task of it had begun.

Change: a job whose only runs were lost without a trace is queued again, and the leader also counts jobs whose starts no worker has confirmed.

Tests: Pending_OnlyStartLost_CountsAgain fails without RequeueIfUntouched; Pending_StartNotConfirmed_StillCounts checks the leader's count.

--- a/src/cell/cell_core.cpp
+++ b/src/cell/cell_core.cpp
@@ -269,7 +269,7 @@
   if (rest.empty()) {
     JobAnswer answer;
     answer.is_queue = 1;
-    answer.pending = book_.PendingCount(queue->id);
+    answer.pending = coordinator_->PendingCount(queue->id);
     return AnswerJob(reply, ResultCode::kOk, answer);
   }
   const job::JobId id(rest);
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -264,6 +264,29 @@
   }
 }
 
+std::uint64_t Coordinator::PendingCount(const job::QueueId& queue) const {
+  std::uint64_t count = book_.PendingCount(queue);
+  for (auto it = run_index_.begin(); it != run_index_.end();) {
+    const job::JobId& id = it->first.task.step.job;
+    bool confirmed = false;
+    auto next = it;
+    for (; next != run_index_.end() && next->first.task.step.job == id; ++next) {
+      const Worker* worker = fleet_.Find(next->second);
+      const auto run =
+          worker == nullptr ? decltype(worker->runs.end())() : worker->runs.find(next->first);
+      if (worker == nullptr || run == worker->runs.end()) continue;
+      const RunPhase phase = run->second.phase;
+      confirmed = confirmed || phase == RunPhase::kActive || phase == RunPhase::kEnding;
+    }
+    const job::Job* job = book_.Find(id);
+    const bool counts = job != nullptr && job->queue == queue &&
+                        job->phase == job::JobPhase::kRunning && !job->spec.IsTimed();
+    if (counts && !confirmed && !job->HasProgress()) ++count;
+    it = next;
+  }
+  return count;
+}
+
 Coordinator::Counts Coordinator::counts() const {
   Counts counts = counts_;
   counts.workers = fleet_.workers().size();
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -78,6 +78,10 @@
   /// everything that was acknowledged before.
   void Confirm(Durable done);
 
+  /// Accepted jobs of a queue, without due times, of which no task has begun. A job whose starts no
+  /// worker has confirmed yet counts, because its orders may have been lost with an earlier leader.
+  std::uint64_t PendingCount(const job::QueueId& queue) const;
+
   /// Places waiting work and proposes what has gathered.
   void Pump();
   /// Does what is due at `Clock::Now()`. To be called about every 20 ms.
--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -26,6 +26,17 @@
   return out << key.step << '.' << key.index;
 }
 
+bool Job::HasProgress() const {
+  const auto has_trace = [](const TaskState& it) {
+    return it.phase == TaskPhase::kDone || it.failures > 0 || !it.checkpoint.empty();
+  };
+  return std::any_of(occurrences.begin(), occurrences.end(), [&](const OccurrenceState& it) {
+    return std::any_of(it.steps.begin(), it.steps.end(), [&](const StepState& step) {
+      return std::any_of(step.tasks.begin(), step.tasks.end(), has_trace);
+    });
+  });
+}
+
 BookChanges JobBook::Apply(const CommandBatch& batch) {
   BookChanges changes;
   if (batch.config.version > config_.version) {
@@ -121,6 +132,18 @@
   if (spec.Has(StepFlag::kLongRunning)) return;
   if (record.end == RunEnd::kDone) FinishTask(&it->second, record, changes);
   if (record.end == RunEnd::kFailed) FailTask(&it->second, record, changes);
+  if (record.end == RunEnd::kLost) RequeueIfUntouched(&it->second);
+}
+
+void JobBook::RequeueIfUntouched(Job* job) {
+  const bool any_started =
+      std::any_of(job->occurrences.begin(), job->occurrences.end(), [](const auto& it) {
+        return std::any_of(it.steps.begin(), it.steps.end(),
+                           [](const StepState& step) { return step.started > 0; });
+      });
+  if (job->phase != JobPhase::kRunning || any_started || job->HasProgress()) return;
+  job->phase = JobPhase::kQueued;
+  if (!job->spec.IsTimed()) ++pending_[job->queue];
 }
 
 void JobBook::FinishTask(Job* job, const EndRecord& record, BookChanges* changes) {
--- a/src/job/job_book.h
+++ b/src/job/job_book.h
@@ -92,6 +92,9 @@
   std::vector<OccurrenceState> occurrences;
 
   bool HasEnded() const { return phase >= JobPhase::kComplete; }
+  /// Tells whether a run has left a trace: a task that is done or failed, or saved progress. A run
+  /// that was ordered and lost may never have begun.
+  bool HasProgress() const;
   auto Fields() { return std::tie(id, queue, spec, accepted_at, phase, occurrences); }
 };
 
@@ -135,6 +138,8 @@
   void ApplyEnd(const EndRecord& record, BookChanges* changes);
   void ApplyCancel(const CancelRecord& record, BookChanges* changes);
   void ApplyStart(const StartRecord& record, BookChanges* changes);
+  /// Puts a job back in the queue if its only runs were lost before they left a trace.
+  void RequeueIfUntouched(Job* job);
   void FinishTask(Job* job, const EndRecord& record, BookChanges* changes);
   void FailTask(Job* job, const EndRecord& record, BookChanges* changes);
   void EndJob(Job* job, JobPhase phase, BookChanges* changes);
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(NewLifetime_RunsOfTheOldOne_StartAgain);
   CPPUNIT_TEST(NewLeader_WorkerNotRead_GetsNoStart);
   CPPUNIT_TEST(NewLeader_RecordedStartNotListed_IsStoppedFirst);
+  CPPUNIT_TEST(Pending_StartNotConfirmed_StillCounts);
   CPPUNIT_TEST(DrainingWorker_WaitingTask_IsNotStartedThere);
   CPPUNIT_TEST(Gang_RoomForPartOnly_StartsNothing);
   CPPUNIT_TEST(Gang_MemberRefused_OthersAreStopped);
@@ -72,6 +73,15 @@
     CPPUNIT_ASSERT(JobPhase::kComplete == PhaseOf("j"));
   }
 
+  // Guards against a count that leaves out jobs whose orders were lost with an earlier leader.
+  void Pending_StartNotConfirmed_StillCounts() {
+    const job::QueueId queue("urgent");
+    const StartOrder order = StartOne("w1");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, coordinator_->PendingCount(queue));
+    Reply(order, OrderOutcome::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, coordinator_->PendingCount(queue));
+  }
+
   // Guards against two runs of a task when an order is carried out seconds later.
   void Start_Unanswered_IsStoppedBeforeItStartsAgain() {
     const StartOrder order = StartOne("w1");
--- a/tests/job/job_book_test.cpp
+++ b/tests/job/job_book_test.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(Config_LowerVersion_ChangesNothing);
   CPPUNIT_TEST(Roster_LateReadyReport_KeepsDraining);
   CPPUNIT_TEST(Pending_FirstStartOrCancel_CountsDown);
+  CPPUNIT_TEST(Pending_OnlyStartLost_CountsAgain);
+  CPPUNIT_TEST(Pending_StartLostAfterProgress_DoesNotCount);
   CPPUNIT_TEST(Forget_RunningJob_IsKept);
   CPPUNIT_TEST(Snapshot_Restored_GivesSameBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -181,6 +183,30 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, book_.PendingCount(kQueue));
   }
 
+  // Guards against jobs that are left out of the count, although their start was lost on its way.
+  void Pending_OnlyStartLost_CountsAgain() {
+    Submit({Step(2)});
+    Start(Task(0, 0), 1);
+    Start(Task(0, 1), 1);
+    End(Task(0, 0), 1, RunEnd::kLost);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, book_.PendingCount(kQueue));
+    End(Task(0, 1), 1, RunEnd::kLost);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, book_.PendingCount(kQueue));
+    CPPUNIT_ASSERT(JobPhase::kQueued == book_.Find(kJob)->phase);
+    Start(Task(0, 0), 2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, book_.PendingCount(kQueue));
+  }
+
+  void Pending_StartLostAfterProgress_DoesNotCount() {
+    Submit({Step(2)});
+    Start(Task(0, 0), 1);
+    End(Task(0, 0), 1, RunEnd::kDone);
+    Start(Task(0, 1), 1);
+    End(Task(0, 1), 1, RunEnd::kLost);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, book_.PendingCount(kQueue));
+    CPPUNIT_ASSERT(JobPhase::kRunning == book_.Find(kJob)->phase);
+  }
+
   void Forget_RunningJob_IsKept() {
     Submit({Step(1)});
     CommandBatch batch;
