--- a/src/base/log_writer.cpp
+++ b/src/base/log_writer.cpp
@@ -17,6 +17,8 @@
 namespace parsleyline {
 namespace {
 
+// Bytes in one write. A pipe takes this many whole, so that lines of several writers do not mix.
+constexpr std::size_t kWriteBytes = 4096;
 constexpr std::int64_t kMicrosPerSecond = 1'000'000;
 // Longest text of a time with microseconds.
 constexpr std::size_t kTimeSize = 40;
@@ -74,9 +76,16 @@
     }
   }
 
+  // Returns the length of the longest piece of whole lines that one write may take.
+  static std::size_t PieceOf(std::string_view batch) {
+    if (batch.size() <= kWriteBytes) return batch.size();
+    const std::size_t line_break = batch.rfind('\n', kWriteBytes - 1);
+    return line_break == std::string_view::npos ? kWriteBytes : line_break + 1;
+  }
+
   void WriteAll(std::string_view batch) const {
     while (!batch.empty()) {
-      const ssize_t n = ::write(fd, batch.data(), batch.size());
+      const ssize_t n = ::write(fd, batch.data(), PieceOf(batch));
       if (n < 0 && errno == EINTR) continue;
       // There is no place left to report that the log itself cannot be written.
       if (n < 0) return;
--- a/tests/base/log_writer_test.cpp
+++ b/tests/base/log_writer_test.cpp
@@ -1,7 +1,7 @@
 #include "base/log_writer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <fcntl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
@@ -15,6 +15,7 @@
 class LogWriterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogWriterTest);
   CPPUNIT_TEST(Line_Written_HasTimeAndLevel);
+  CPPUNIT_TEST(ManyLines_Written_ComeInPiecesOfWholeLines);
   CPPUNIT_TEST(Flood_AboveLimit_IsCutAndCounted);
   CPPUNIT_TEST(Flood_OfUsualLines_LeavesRoomForWarnings);
   CPPUNIT_TEST(Reader_ThatDoesNotRead_BlocksNobody);
@@ -36,6 +37,25 @@
     CPPUNIT_ASSERT_MESSAGE(text, text.ends_with("Z level=info event=start role=core\n"));
   }
 
+  // Guards against lines that are torn where another process writes to the same pipe.
+  void ManyLines_Written_ComeInPiecesOfWholeLines() {
+    std::array<int, 2> packets{};
+    CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_SEQPACKET, 0, packets.data()));
+    {
+      LogWriter writer(packets[1]);
+      for (int i = 0; i < 200; ++i) writer.Write("info", std::string(100, 'x'), false);
+    }
+    close(packets[1]);
+    std::array<char, 65536> buf{};
+    int pieces = 0;
+    for (ssize_t n = 0; (n = recv(packets[0], buf.data(), buf.size(), 0)) > 0; ++pieces) {
+      CPPUNIT_ASSERT(n <= 4096);
+      CPPUNIT_ASSERT_EQUAL('\n', buf.at(static_cast<std::size_t>(n - 1)));
+    }
+    CPPUNIT_ASSERT(pieces > 1);
+    close(packets[0]);
+  }
+
   // A process that logs each decision of a flood must not fill the disk of who collects the lines.
   void Flood_AboveLimit_IsCutAndCounted() {
     {
