Name more workers in long calls of the advisor; let gangs reserve as before

Such a call takes at least 130 ms and named about six workers that had room when it began; by its answer the room was gone.

Change: a call of 50 ms or more names so many workers that it takes at most half as long again, also workers that are full; their tickets are at hand when tasks end there.

--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t kUsualApprovalPermille = 400;
 constexpr std::size_t kPermille = 1000;
 constexpr std::size_t kMinWorkersPerCall = 6;
+// Calls that take less anyway name few workers and are repeated: their answers cost the leader more
+// than the call costs the advisor.
+constexpr Milliseconds kCheapCall{50};
+// Naming workers may lengthen a longer call by this part of the time that it takes anyway.
+constexpr std::int64_t kCallStretch = 2;
 // Calls that take longer than this leave some callers free for short ones.
 constexpr Milliseconds kLongCall{300};
 constexpr std::size_t kCallersForShortCalls = 3;
@@ -34,6 +39,14 @@
 // now is what gangs need, and they can still be in time later.
 constexpr Milliseconds kPatientSlack{5000};
 
+// Returns how many workers a call names even if they are full. A long call that names more takes
+// little longer, and its tickets are at hand when tasks end on these.
+std::size_t UsualNames(const job::AdvisorSettings& advisor) {
+  if (Microseconds(advisor.decision_us) < kCheapCall) return 0;
+  const std::int64_t per_worker = std::max<std::int64_t>(advisor.per_worker_us, 1);
+  return static_cast<std::size_t>(advisor.decision_us / (kCallStretch * per_worker));
+}
+
 }  // namespace
 
 bool Coordinator::IsReady(const job::Job& job, const job::StepKey& key) const {
@@ -269,10 +282,10 @@
   const job::StepSpec& step = book_.Find(work->key.job)->spec.steps[work->key.step];
   std::vector<Candidate> candidates = Candidates(*work, *pass, TicketRule::kNotRefused);
   std::erase_if(candidates, [&](const Candidate& it) {
-    return FitCount(step, it) == 0 ||
-           work->advice.TicketLife(it.worker->slot, pass->now) > Duration(0);
+    return work->advice.TicketLife(it.worker->slot, pass->now) > Duration(0);
   });
-  if (candidates.empty()) {
+  const auto has_room = [&step](const Candidate& it) { return FitCount(step, it) > 0; };
+  if (std::none_of(candidates.begin(), candidates.end(), has_room)) {
     work->next_ask = pass->now + kNoRoomRetry;
     return;
   }
@@ -281,16 +294,19 @@
   };
   std::stable_sort(candidates.begin(), candidates.end(),
                    [&](const Candidate& a, const Candidate& b) {
+                     if (has_room(a) != has_room(b)) return has_room(a);
                      if (a.reserved != b.reserved) return b.reserved;
                      if (is_approved(a) != is_approved(b)) return is_approved(a);
                      return a.room.cpu > b.room.cpu;
                    });
+  const std::size_t usual = UsualNames(pass->config->Find(work->queue)->advisor);
   std::vector<const Worker*> named;
   std::size_t expected_permille = 0;
   for (const Candidate& it : candidates) {
     const std::size_t fits = std::min(FitCount(step, it), tasks);
-    const bool enough = expected_permille >= tasks * kPermille;
-    if (enough && (is_approved(it) || named.size() >= kMinWorkersPerCall)) break;
+    const bool enough = !has_room(it) || (expected_permille >= tasks * kPermille &&
+                                          named.size() >= kMinWorkersPerCall);
+    if (enough && named.size() >= usual) break;
     expected_permille += fits * (is_approved(it) ? kPermille : kUsualApprovalPermille);
     named.push_back(it.worker);
   }
--- a/src/dispatch/policy.h
+++ b/src/dispatch/policy.h
@@ -36,9 +36,9 @@
   WaitingOrder order = WaitingOrder::kProspect;
   DoorRule door = DoorRule::kExpectedWait;
   GangRule gangs = GangRule::kReserve;
-  /// Share of the workers that gangs may keep room free on, in thousandths. Reserved room stands
-  /// idle; with many gangs at once it costs more than it gains.
-  std::size_t reserved_permille = 100;
+  /// Share of the workers that gangs may keep room free on, in thousandths. More would leave room
+  /// idle that other work needs; with less, the widest gangs find no room at all.
+  std::size_t reserved_permille = 700;
 };
 
 }  // namespace parsleyline::dispatch
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(EstimatesTooLow_AllWorkersAlike_NothingMoves);
   CPPUNIT_TEST(DrainingWorker_RunThatCannotEndThere_IsMoved);
   CPPUNIT_TEST(Gang_TicketsForEnoughWorkers_StartsThere);
+  CPPUNIT_TEST(Advice_LongCall_NamesFullWorkersToo);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
   CPPUNIT_TEST_SUITE_END();
@@ -293,6 +294,26 @@
     }
   }
 
+  // Guards against batch jobs that ask ten times about the few workers that have room just then,
+  // and keep all callers of the advisor busy.
+  void Advice_LongCall_NamesFullWorkersToo() {
+    job::CellConfig config = DefaultConfig();
+    config.version = job::ConfigVersion(2);
+    for (job::QueueSettings& it : config.queues) it.needs_ticket = 1;
+    config.queues[0].advisor = {12'000, 200, Milliseconds(2000)};
+    config.queues[1].advisor = {120'000, 4000, Milliseconds(2000)};
+    PutConfig(config);
+    coordinator_->NoteCaller(NodeId("c"));
+    AddWorker("free", 4000);
+    for (int i = 0; i < 20; ++i) AddWorker("small" + std::to_string(i), 100);
+    Submit("long", Spec(1, 1000), "batch");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{15}, outbox_->questions.back().second.workers.size());
+    CPPUNIT_ASSERT(WorkerId("free") == outbox_->questions.back().second.workers.front());
+    coordinator_->OnAdvice(NodeId("c"), outbox_->questions.back().second, AdviceReply());
+    Submit("short", Spec(1, 1000), "urgent");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->questions.back().second.workers.size());
+  }
+
   // Guards against a leader that stops working for good because its log was busy once.
   void Proposal_LogBusy_IsRepeated() {
     AddWorker("w1");
