--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -81,6 +81,7 @@
   WriteSettings(number);
   node.process->Start();
   node.up = true;
+  node.stopping = false;
 }
 
 void Processes::StartAll(const std::string& advisor) {
@@ -122,14 +123,16 @@
 
 void Processes::Replace(std::size_t number) {
   Node& node = nodes_[number];
-  if (!node.up || node.paused) return;
+  // A second SIGTERM ends a process at once, and its end would be awaited twice.
+  if (!node.up || node.paused || node.stopping) return;
+  node.stopping = true;
   node.process->Signal(SIGTERM);
   AwaitStop(number, std::chrono::steady_clock::now() + kStopGrace);
 }
 
 void Processes::AwaitStop(std::size_t number, std::chrono::steady_clock::time_point deadline) {
   Node& node = nodes_[number];
-  if (!node.up) return;
+  if (!node.up || !node.stopping) return;
   if (node.process->HasEnded()) {
     node.up = false;
     return Start(number);
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -58,6 +58,8 @@
     std::unique_ptr<cell::Process> process;
     bool up = false;
     bool paused = false;
+    /// SIGTERM was sent, and the end is awaited.
+    bool stopping = false;
     bool first_start = true;
   };
 
