Share one delayed call among the soak and the stand-in

Five classes had the same After(); RunAfter in tests/support replaces them. Behaviour and checks stay.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,12 +1,13 @@
 #include "tests/soak/callers.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <cinttypes>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "tests/support/run_after.h"
+
 namespace parsleyline::testing {
 namespace {
 
@@ -74,19 +75,12 @@
 
 Callers::~Callers() = default;
 
-void Callers::After(milliseconds time, std::function<void()> action) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
-  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
-    if (!ec) action();
-  });
-}
-
 void Callers::Start() { Arrive(); }
 
 void Callers::Arrive() {
   if (!arriving_) return;
   std::exponential_distribution<double> gap(setup_.jobs_per_second);
-  After(milliseconds(static_cast<std::int64_t>(gap(random_) * 1000)), [this] { Arrive(); });
+  RunAfter(io_, milliseconds(static_cast<std::int64_t>(gap(random_) * 1000)), [this] { Arrive(); });
   char id[17];
   std::snprintf(id, sizeof(id), "%016" PRIx64, next_id_++);
   Job& job = jobs_[id];
@@ -154,8 +148,8 @@
   if (status >= 200 && status < 300) {
     job.accepted = true;
     oracle_.NoteAccepted(id);
-    if (job.cancelling) After(kRetryPause, [this, id] { Cancel(id); });
-    return After(kPollInterval, [this, id] { Poll(id); });
+    if (job.cancelling) RunAfter(io_, kRetryPause, [this, id] { Cancel(id); });
+    return RunAfter(io_, kPollInterval, [this, id] { Poll(id); });
   }
   const bool never_sent = !result && result.error().sent == http::Sent::kNo;
   const bool rejected = status == kTooManyRequests || status == kUnavailable;
@@ -168,7 +162,7 @@
   if (status >= 400 && !rejected && status < 500) {
     oracle_.Breach("WIRE", id + " was answered " + std::to_string(status));
   }
-  After(kRetryPause * std::min<std::uint32_t>(job.attempts, 8), [this, id] { Submit(id); });
+  RunAfter(io_, kRetryPause * std::min<std::uint32_t>(job.attempts, 8), [this, id] { Submit(id); });
 }
 
 void Callers::Cancel(const std::string& id) {
@@ -180,7 +174,7 @@
     if ((status >= 200 && status < 300) || status == kGone) {
       it->second.cancelled = true;
     } else {
-      After(kRetryPause, [this, id] { Cancel(id); });
+      RunAfter(io_, kRetryPause, [this, id] { Cancel(id); });
     }
   });
 }
@@ -202,7 +196,7 @@
   }
   const bool ended = state == "complete" || state == "failed" || state == "canceled";
   if (!ended || (job.cancelling && !job.cancelled)) {
-    return After(kPollInterval, [this, id] { Poll(id); });
+    return RunAfter(io_, kPollInterval, [this, id] { Poll(id); });
   }
   if (state == "complete") oracle_.NoteComplete(id);
   if (state == "failed") oracle_.NoteFailed(id);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -65,7 +65,6 @@
   void Cancel(const std::string& id);
   void Send(const std::string& method, const std::string& id, std::string body,
             std::function<void(const http::ClientResult&)> done);
-  void After(milliseconds time, std::function<void()> action);
 
   boost::asio::io_context& io_;
   const CallerSetup setup_;
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -1,9 +1,10 @@
 #include "tests/soak/fault_plan.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <sstream>
 #include <utility>
 
+#include "tests/support/run_after.h"
+
 namespace parsleyline::testing {
 namespace {
 
@@ -36,13 +37,6 @@
 
 FaultPlan::~FaultPlan() = default;
 
-void FaultPlan::After(milliseconds time, std::function<void()> action) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
-  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
-    if (!ec) action();
-  });
-}
-
 milliseconds FaultPlan::Span(std::int64_t least, std::int64_t most) {
   return milliseconds(least + static_cast<std::int64_t>(random_() % (most - least + 1)));
 }
@@ -67,21 +61,21 @@
       &FaultPlan::SlowWorker,    &FaultPlan::DrainWorker,       &FaultPlan::DelayOrders,
       &FaultPlan::ChangeConfig,  &FaultPlan::DisturbConnection, &FaultPlan::DisturbConnection};
   (this->*kFaults[Draw(std::size(kFaults))])();
-  After(Span(100, 1500), [this] { Next(); });
+  RunAfter(io_, Span(100, 1500), [this] { Next(); });
 }
 
 void FaultPlan::KillProcess() {
   const std::size_t number = Draw(processes_.size());
   Note("kill process " + std::to_string(number));
   processes_.Kill(number);
-  After(Span(100, 2500), [this, number] { processes_.Start(number); });
+  RunAfter(io_, Span(100, 2500), [this, number] { processes_.Start(number); });
 }
 
 void FaultPlan::PauseProcess() {
   const std::size_t number = Draw(processes_.size());
   Note("pause process " + std::to_string(number));
   processes_.Pause(number);
-  After(Span(200, 5000), [this, number] { processes_.Resume(number); });
+  RunAfter(io_, Span(200, 5000), [this, number] { processes_.Resume(number); });
 }
 
 void FaultPlan::ReplaceProcess() {
@@ -96,7 +90,7 @@
   Note("kill all cores");
   for (std::size_t i = 0; i < processes_.core_count(); ++i) {
     processes_.Kill(i);
-    After(Span(100, 1000), [this, i] { processes_.Start(i); });
+    RunAfter(io_, Span(100, 1000), [this, i] { processes_.Start(i); });
   }
 }
 
@@ -111,7 +105,7 @@
   Note("wipe core " + std::to_string(number));
   processes_.Wipe(number);
   next_wipe_ = now + 2 * kCatchUp;
-  After(Span(200, 1500), [this, number] { processes_.Start(number); });
+  RunAfter(io_, Span(200, 1500), [this, number] { processes_.Start(number); });
 }
 
 void FaultPlan::CrashWorker() {
@@ -119,28 +113,31 @@
   if (!platform_.fleet().worker(number).up) return;
   Note("crash worker " + std::to_string(number));
   platform_.Crash(number);
-  After(Span(50, 4000), [this, number] { platform_.Restart(number); });
+  RunAfter(io_, Span(50, 4000), [this, number] { platform_.Restart(number); });
 }
 
 void FaultPlan::HangWorker() {
   const std::size_t number = Draw(platform_.fleet().size());
   Note("hang worker " + std::to_string(number));
   platform_.fleet().worker(number).hangs = true;
-  After(Span(1000, 4000), [this, number] { platform_.fleet().worker(number).hangs = false; });
+  RunAfter(io_, Span(1000, 4000),
+           [this, number] { platform_.fleet().worker(number).hangs = false; });
 }
 
 void FaultPlan::FailWorker() {
   const std::size_t number = Draw(platform_.fleet().size());
   Note("worker fails everything " + std::to_string(number));
   platform_.fleet().worker(number).fails_all = true;
-  After(Span(500, 2000), [this, number] { platform_.fleet().worker(number).fails_all = false; });
+  RunAfter(io_, Span(500, 2000),
+           [this, number] { platform_.fleet().worker(number).fails_all = false; });
 }
 
 void FaultPlan::SlowWorker() {
   const std::size_t number = Draw(platform_.fleet().size());
   Note("slow worker " + std::to_string(number));
   platform_.fleet().worker(number).slowness = 6;
-  After(Span(1000, 4000), [this, number] { platform_.fleet().worker(number).slowness = 1; });
+  RunAfter(io_, Span(1000, 4000),
+           [this, number] { platform_.fleet().worker(number).slowness = 1; });
 }
 
 void FaultPlan::DrainWorker() {
@@ -152,7 +149,7 @@
 void FaultPlan::DelayOrders() {
   Note("late orders");
   platform_.SetLateOrders(100);
-  After(Span(500, 3000), [this] { platform_.SetLateOrders(0); });
+  RunAfter(io_, Span(500, 3000), [this] { platform_.SetLateOrders(0); });
 }
 
 void FaultPlan::DisturbConnection() {
@@ -170,7 +167,7 @@
   const std::string command = commands[Draw(std::size(commands))];
   Note("worker " + std::to_string(number) + ": " + command);
   proxy.RunCommand(command);
-  After(Span(300, 6000), [&proxy] { proxy.Heal(); });
+  RunAfter(io_, Span(300, 6000), [&proxy] { proxy.Heal(); });
 }
 
 void FaultPlan::ChangeConfig() {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -48,7 +48,6 @@
   std::size_t Draw(std::size_t below) { return random_() % below; }
   milliseconds Span(std::int64_t least, std::int64_t most);
   void Note(const std::string& what);
-  void After(milliseconds time, std::function<void()> action);
 
   boost::asio::io_context& io_;
   std::mt19937 random_;
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -1,10 +1,10 @@
 #include "tests/soak/operator.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "tests/soak/callers.h"
+#include "tests/support/run_after.h"
 
 namespace parsleyline::testing {
 namespace {
@@ -31,13 +31,6 @@
 
 Operator::~Operator() = default;
 
-void Operator::After(milliseconds time, std::function<void()> action) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
-  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
-    if (!ec) action();
-  });
-}
-
 void Operator::Send(const std::string& method, std::string body,
                     std::function<void(const http::ClientResult&)> done) {
   http::ClientRequest request;
@@ -76,19 +69,19 @@
       oracle_.Breach("CONFIG", "version " + std::to_string(version) + " was answered " +
                                    std::to_string(status));
     }
-    After(kRetryPause, [this] { Put(); });
+    RunAfter(io_, kRetryPause, [this] { Put(); });
   });
 }
 
 void Operator::Read() {
-  ReadBack([this] { After(kReadInterval, [this] { Read(); }); });
+  ReadBack([this] { RunAfter(io_, kReadInterval, [this] { Read(); }); });
 }
 
 void Operator::ReadBack(std::function<void()> done) {
   const std::uint64_t oldest = acknowledged_;
   Send("GET", "", [this, oldest, done = std::move(done)](const http::ClientResult& result) mutable {
     if (!result || result->status != 200) {
-      return After(kRetryPause, [this, done = std::move(done)] { ReadBack(done); });
+      return RunAfter(io_, kRetryPause, [this, done = std::move(done)] { ReadBack(done); });
     }
     const json body = json::parse(result->body, nullptr, false);
     const std::uint64_t found =
--- a/tests/soak/operator.h
+++ b/tests/soak/operator.h
@@ -37,7 +37,6 @@
   void Read();
   void Send(const std::string& method, std::string body,
             std::function<void(const http::ClientResult&)> done);
-  void After(milliseconds time, std::function<void()> action);
 
   boost::asio::io_context& io_;
   std::vector<std::unique_ptr<http::Client>> control_;
--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -1,6 +1,5 @@
 #include "tests/soak/processes.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -8,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "tests/support/run_after.h"
+
 namespace parsleyline::testing {
 namespace {
 
@@ -45,13 +46,6 @@
   return nodes_[setup_.cores + entry].ip + ':' + std::to_string(setup_.base_port + kCallerPort);
 }
 
-void Processes::After(milliseconds time, std::function<void()> action) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
-  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
-    if (!ec) action();
-  });
-}
-
 void Processes::WriteSettings(std::size_t number) {
   const Node& node = nodes_[number];
   json seeds = json::array();
@@ -143,7 +137,7 @@
     Kill(number);
     return Start(number);
   }
-  After(kStopPoll, [this, number, deadline] { AwaitStop(number, deadline); });
+  RunAfter(io_, kStopPoll, [this, number, deadline] { AwaitStop(number, deadline); });
 }
 
 }  // namespace parsleyline::testing
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -65,7 +65,6 @@
 
   void WriteSettings(std::size_t number);
   void AwaitStop(std::size_t number, std::chrono::steady_clock::time_point deadline);
-  void After(milliseconds time, std::function<void()> action);
 
   boost::asio::io_context& io_;
   CellSetup setup_;
--- a/tests/standin_platform/standin_platform.cpp
+++ b/tests/standin_platform/standin_platform.cpp
@@ -5,6 +5,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "tests/support/run_after.h"
+
 namespace parsleyline::testing {
 namespace {
 
@@ -105,17 +107,10 @@
   Tick();
   for (std::size_t i = 0; i < sites_.size(); ++i) {
     const auto offset = setup_.heartbeat * static_cast<int>(i) / static_cast<int>(sites_.size());
-    After(std::chrono::duration_cast<milliseconds>(offset), [this, i] { Heartbeat(i); });
+    RunAfter(io_, std::chrono::duration_cast<milliseconds>(offset), [this, i] { Heartbeat(i); });
   }
 }
 
-void StandinPlatform::After(milliseconds time, std::function<void()> action) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, time);
-  timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& ec) {
-    if (!ec) action();
-  });
-}
-
 void StandinPlatform::Tick() {
   fleet_.Advance(Now());
   tick_.expires_after(kTickInterval);
@@ -125,7 +120,7 @@
 }
 
 void StandinPlatform::Heartbeat(std::size_t number) {
-  After(setup_.heartbeat, [this, number] { Heartbeat(number); });
+  RunAfter(io_, setup_.heartbeat, [this, number] { Heartbeat(number); });
   const EmulatedWorker& worker = fleet_.worker(number);
   if (!worker.up) return;
   Site& site = sites_[number];
@@ -163,7 +158,7 @@
                              const http::Respond& respond) {
   const EmulatedWorker& worker = fleet_.worker(number);
   // A worker without power does not answer.
-  if (!worker.up) return After(kDarkTime, [respond] { (void)respond; });
+  if (!worker.up) return RunAfter(io_, kDarkTime, [respond] { (void)respond; });
   const auto expected = request.headers.find("x-parsleyline-expect-instance");
   if (expected != request.headers.end() && expected->second != worker.id) {
     http::Response response;
@@ -181,12 +176,13 @@
   if (random_() % kPermille >= late_permille_) return (this->*carry_out)(number, body, respond);
   // The order is carried out late, and its caller never hears of it.
   const std::int64_t born = worker.born;
-  After(milliseconds(kLateMin + random_() % kLateSpan), [this, number, body, carry_out, born] {
-    if (fleet_.worker(number).up && fleet_.worker(number).born == born) {
-      (this->*carry_out)(number, body, [](const http::Response&) {});
-    }
-  });
-  After(kDarkTime, [respond] { (void)respond; });
+  RunAfter(io_, milliseconds(kLateMin + random_() % kLateSpan),
+           [this, number, body, carry_out, born] {
+             if (fleet_.worker(number).up && fleet_.worker(number).born == born) {
+               (this->*carry_out)(number, body, [](const http::Response&) {});
+             }
+           });
+  RunAfter(io_, kDarkTime, [respond] { (void)respond; });
 }
 
 http::Response StandinPlatform::Answer(const CallAnswer& answer) {
@@ -232,7 +228,7 @@
   AnswerHold(number);
   site.waiting = respond;
   const std::uint64_t hold = ++site.hold_number;
-  After(milliseconds(wait), [this, number, hold] {
+  RunAfter(io_, milliseconds(wait), [this, number, hold] {
     if (sites_[number].hold_number == hold) AnswerHold(number);
   });
 }
@@ -287,7 +283,7 @@
   http::Response response;
   response.body =
       json{{"approved", std::move(approved)}, {"valid-ms", kTicketValidity.count()}}.dump();
-  After(setup_.advice_time, [respond, response] { respond(response); });
+  RunAfter(io_, setup_.advice_time, [respond, response] { respond(response); });
 }
 
 void StandinPlatform::Crash(std::size_t number) {
@@ -302,11 +298,11 @@
 void StandinPlatform::Drain(std::size_t number, milliseconds patience) {
   if (!fleet_.worker(number).up || sites_[number].draining) return;
   sites_[number].draining = true;
-  After(patience, [this, number, patience] {
+  RunAfter(io_, patience, [this, number, patience] {
     if (!sites_[number].draining) return;
     SendToControl(number, "DELETE", "");
     Crash(number);
-    After(patience, [this, number] { Restart(number); });
+    RunAfter(io_, patience, [this, number] { Restart(number); });
   });
 }
 
--- a/tests/standin_platform/standin_platform.h
+++ b/tests/standin_platform/standin_platform.h
@@ -80,7 +80,6 @@
   void Heartbeat(std::size_t number);
   void SendToControl(std::size_t number, const std::string& method, std::string body);
   void Tick();
-  void After(milliseconds time, std::function<void()> action);
 
   boost::asio::io_context& io_;
   const PlatformSetup setup_;
