Log event loops that stand still and processes that were suspended

The logs could not tell a process that waits in a handler from one that was suspended: a stuck process writes nothing at all.

Each daemon now has a thread that checks every 250 ms whether the handlers of the event loop run. It logs event_loop_stalled after 700 ms and whenever the time has doubled, event_loop_resumed, and process_suspended if the checks themselves paused.

--- a/src/runtime/daemon_loop.cpp
+++ b/src/runtime/daemon_loop.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "runtime/event_loop_monitor.h"
 
 namespace parsleyline::runtime {
 
@@ -95,6 +96,7 @@
 
 int DaemonLoop::Run() {
   impl_->WaitForSignal();
+  const EventLoopMonitor monitor(impl_->io);
   std::vector<std::thread> pool;
   for (std::uint32_t i = 1; i < impl_->threads; ++i) {
     pool.emplace_back([this] { impl_->io.run(); });
