Write to RPC connections without blocking the event loop

Cause: Connection::WriteSome calls the synchronous write_some on a socket that was set to native_non_blocking() only. Asio then polls the socket without a limit when its buffer is full, on the thread that runs all handlers. A peer that has read some output and stops stops the process, and two processes that fill each other's buffers wait for each other for ever.

The socket is set to non_blocking(), so that write_some returns would_block and the rest is written asynchronously, as the code intended. If the mode cannot be set, the connection is closed instead of ignoring the error.

--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -33,13 +33,17 @@
           static_cast<std::uint32_t>(options.max_in_flight)};
 }
 
-void ConfigureSocket(Socket& socket, const RpcOptions& options) {
+// Returns an error if the socket cannot be used without blocking.
+error_code ConfigureSocket(Socket& socket, const RpcOptions& options) {
   error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket.native_non_blocking(true, ignored);
   const auto timeout = options.ping_interval + options.ping_timeout + kUserTimeoutMargin;
   const auto millis = static_cast<unsigned>(timeout.count());
   setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
+  error_code ec;
+  // With native_non_blocking() alone, a synchronous operation would still wait for the socket.
+  socket.non_blocking(true, ec);
+  return ec;
 }
 
 std::string PeerAddress(const Socket& socket) {
@@ -71,8 +75,8 @@
       peer_(PeerAddress(socket_)) {}
 
 void Connection::Start() {
-  ConfigureSocket(socket_, options_);
   Event("rpc_connection_opened").With("side", RoleName(role_)).With("peer", peer_);
+  if (const error_code ec = ConfigureSocket(socket_, options_)) return CloseOnError(ec);
   ArmPingTimer(options_.ping_interval);
   Flush();
   if (!closed_) Read();
