Let the soak find processes whose event loop waits

The soak checks guarantees to callers. A process that waits for a peer for two seconds breaks none of them, so the soak did not see the blocking writes of RPC connections.

It now treats a log line of an event loop that waited longer than an election takes as a violation, pauses the cores one after the other, and lets RPC peers of the leader read a part of a response and stop. The configuration of the soak has the size of a large cell's.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -3,7 +3,10 @@
 #include <sstream>
 #include <utility>
 
+#include "cell/messages.h"
 #include "tests/support/run_after.h"
+#include "tests/support/unread_peer.h"
+#include "wire/codec.h"
 
 namespace parsleyline::testing {
 namespace {
@@ -14,6 +17,12 @@
 // Time that the platform's documentation guarantees a replica for catching up before the next disk
 // is lost.
 constexpr milliseconds kCatchUpTime{6000};
+// The responses to these calls exceed the send buffer of the leader, but not the window of an
+// HTTP/2 connection. The peers read multiples of the step, because not every remainder leaves a
+// socket full.
+constexpr std::size_t kUnreadCalls = 30;
+constexpr std::size_t kUnreadPeers = 20;
+constexpr std::size_t kReadStepBytes = 10'000;
 
 }  // namespace
 
@@ -57,11 +66,12 @@
   if (!active_) return;
   using Fault = void (FaultPlan::*)();
   constexpr Fault kFaults[] = {
-      &FaultPlan::KillProcess,   &FaultPlan::PauseProcess,      &FaultPlan::RestartProcess,
-      &FaultPlan::ReloadProcess, &FaultPlan::KillAllCores,      &FaultPlan::WipeCore,
-      &FaultPlan::CrashWorker,   &FaultPlan::HangWorker,        &FaultPlan::FailWorker,
-      &FaultPlan::SlowWorker,    &FaultPlan::DrainWorker,       &FaultPlan::DelayOrders,
-      &FaultPlan::ChangeConfig,  &FaultPlan::DisturbConnection, &FaultPlan::DisturbConnection};
+      &FaultPlan::KillProcess,      &FaultPlan::PauseProcess,      &FaultPlan::RestartProcess,
+      &FaultPlan::ReloadProcess,    &FaultPlan::KillAllCores,      &FaultPlan::WipeCore,
+      &FaultPlan::CrashWorker,      &FaultPlan::HangWorker,        &FaultPlan::FailWorker,
+      &FaultPlan::SlowWorker,       &FaultPlan::DrainWorker,       &FaultPlan::DelayOrders,
+      &FaultPlan::ChangeConfig,     &FaultPlan::DisturbConnection, &FaultPlan::DisturbConnection,
+      &FaultPlan::PauseCoresInTurn, &FaultPlan::StopReading};
   (this->*kFaults[RandomBelow(std::size(kFaults))])();
   RunAfter(io_, RandomDuration(100, 1500), [this] { InjectNextFault(); });
 }
@@ -80,6 +90,39 @@
   RunAfter(io_, RandomDuration(200, 5000), [this, number] { processes_.Resume(number); });
 }
 
+// Each core in turn is paused for longer than an election takes, so that it comes back to a leader
+// that has much to send to it, while it has calls to forward.
+void FaultPlan::PauseCoresInTurn() {
+  LogFault("pause cores in turn");
+  PauseCore(RandomBelow(processes_.core_count()), 2 * processes_.core_count());
+}
+
+void FaultPlan::PauseCore(std::size_t number, std::size_t remaining) {
+  if (!active_ || remaining == 0) return;
+  processes_.Pause(number);
+  RunAfter(io_, RandomDuration(1000, 2500), [this, number, remaining] {
+    processes_.Resume(number);
+    RunAfter(io_, RandomDuration(0, 700), [this, number, remaining] {
+      PauseCore((number + 1) % processes_.core_count(), remaining - 1);
+    });
+  });
+}
+
+// Only the leader responds with the configuration.
+void FaultPlan::StopReading() {
+  LogFault("peers of the cores stop reading");
+  const std::string calls = FirstBytes(transport::Http2Role::kClient, cell::kGetConfigMethod,
+                                       wire::Encode(cell::ConfigQuery{}), kUnreadCalls);
+  const milliseconds duration = RandomDuration(1000, 5000);
+  for (std::size_t core = 0; core < processes_.core_count(); ++core) {
+    for (std::size_t i = 1; i <= kUnreadPeers; ++i) {
+      const auto peer = std::make_shared<UnreadPeer>(io_, calls, i * kReadStepBytes);
+      peer->Start(processes_.RpcEndpoint(core));
+      RunAfter(io_, duration, [peer] { peer->Close(); });
+    }
+  }
+}
+
 void FaultPlan::RestartProcess() {
   const std::size_t number = RandomBelow(processes_.size());
   LogFault("stop and start process " + std::to_string(number));
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -43,6 +43,9 @@
   void DrainWorker();
   void DelayOrders();
   void DisturbConnection();
+  void PauseCoresInTurn();
+  void PauseCore(std::size_t number, std::size_t remaining);
+  void StopReading();
   void ChangeConfig();
 
   std::size_t RandomBelow(std::size_t below) { return random_() % below; }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -119,6 +119,9 @@
     oracle.RecordViolation("LOST", std::to_string(processes.overdue_stops()) +
                                        " graceful stops took longer than the platform allows");
   }
+  for (const std::string& it : processes.FindStalls()) {
+    oracle.RecordViolation("STALL", it);
+  }
   const auto [median, p99] = callers.Latencies();
   std::cout << "soak seed=" << setup.seed << " accepted=" << oracle.accepted_count()
             << " complete=" << callers.complete_job_count()
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kRetryDelay{200};
 constexpr milliseconds kReadInterval{500};
 constexpr std::uint32_t kTimeoutMs = 3000;
+// Make the configuration as large as that of a large cell.
+constexpr std::size_t kIdleRoutes = 400;
 
 }  // namespace
 
@@ -53,10 +55,17 @@
 
 void Operator::SendConfig() {
   const std::uint64_t version = version_;
+  json routes =
+      json::parse(RoutesJson(pool_, kTimeoutMs + static_cast<std::uint32_t>(version % 5)));
+  for (std::size_t i = 0; i < kIdleRoutes; ++i) {
+    json idle = routes.front();
+    idle["name"] = "idle-" + std::to_string(i);
+    idle["host"] = "idle-" + std::to_string(i) + ".example";
+    routes.push_back(idle);
+  }
   const json body{
       {"version", version},
-      {"routes",
-       json::parse(RoutesJson(pool_, kTimeoutMs + static_cast<std::uint32_t>(version % 5)))},
+      {"routes", routes},
       {"services", {{{"name", pool_}, {"enforce-capacity", false}, {"standby", false}}}},
       {"limits", json::object()}};
   Send("PUT", body.dump(), [this, version](const http::ClientResult& result) {
--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <regex>
 #include <utility>
 
 #include "tests/support/run_after.h"
@@ -17,6 +18,8 @@
 // The platform sends SIGKILL this long after SIGTERM.
 constexpr milliseconds kStopGrace{6000};
 constexpr milliseconds kStopPoll{50};
+// As in src/cell/cell_core.cpp.
+constexpr milliseconds kMaxElectionTimeout{900};
 constexpr std::uint16_t kCallerPort = 1;
 constexpr std::uint16_t kReadyPort = 2;
 constexpr std::uint16_t kControlPort = 3;
@@ -46,6 +49,26 @@
   return nodes_[setup_.cores + entry].ip + ':' + std::to_string(setup_.base_port + kCallerPort);
 }
 
+boost::asio::ip::tcp::endpoint Processes::RpcEndpoint(std::size_t number) const {
+  return {boost::asio::ip::make_address(nodes_[number].ip), setup_.base_port};
+}
+
+std::vector<std::string> Processes::FindStalls() const {
+  const std::regex pattern("event=event_loop_stalled ms=([0-9]+) cpu_ms=([0-9]+)");
+  std::vector<std::string> stalls;
+  for (const Node& node : nodes_) {
+    std::ifstream log(setup_.folder + '/' + node.name + ".log");
+    for (std::string line; std::getline(log, line);) {
+      std::smatch match;
+      if (!std::regex_search(line, match, pattern)) continue;
+      const milliseconds stalled(std::stoll(match[1]));
+      const milliseconds computed(std::stoll(match[2]));
+      if (stalled - computed > kMaxElectionTimeout) stalls.push_back(node.name + ": " + line);
+    }
+  }
+  return stalls;
+}
+
 void Processes::WriteNodeFile(std::size_t number) {
   const Node& node = nodes_[number];
   json seeds = json::array();
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,11 @@
   /// Addresses at which the platform reaches the processes, as ip:port.
   std::string ControlAddress(std::size_t core) const;
   std::string CallerAddress(std::size_t entry) const;
+  /// Endpoint at which the processes call each other.
+  boost::asio::ip::tcp::endpoint RpcEndpoint(std::size_t number) const;
+  /// Returns the lines of all logs that report an event loop which waited longer than a leader may
+  /// be silent before the next one is elected.
+  std::vector<std::string> FindStalls() const;
 
   /// Sets the address of the advisor and starts all processes.
   void StartAll(const std::string& advisor);
--- a/tests/transport/unread_output_test.cpp
+++ b/tests/transport/unread_output_test.cpp
@@ -1,7 +1,4 @@
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,56 +12,25 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "tests/support/unread_peer.h"
 #include "tests/transport/rpc_fixture.h"
-#include "transport/http2_session.h"
 
 namespace parsleyline::transport {
 namespace {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using testing::FirstBytes;
+using testing::UseSmallBuffers;
 
 constexpr std::size_t kBodyBytes = std::size_t{1} << 20U;
-// Together the bodies exceed the largest send buffer of a socket many times over.
-constexpr std::size_t kBodies = 4;
+// Together the bodies exceed the send buffer of a socket many times over, but not the window of an
+// HTTP/2 connection.
+constexpr std::size_t kBodies = 3;
 // The peers read multiples of this size, because not every remainder leaves a socket full.
 constexpr std::size_t kReadStepBytes = 10'000;
 constexpr std::size_t kPeers = 20;
 constexpr Milliseconds kFillTime{50};
-constexpr int kReceiveBufferBytes = 4096;
-constexpr int kSegmentBytes = 536;
-
-// Lets the peer send without limit on the connection and 4 MiB on each stream.
-constexpr char kLargeWindow[] = "\x00\x00\x04\x08\x00\x00\x00\x00\x00\x7f\x00\x00\x00";
-
-class IgnoredEvents : public Http2Session::Events {
- public:
-  void OnMessage(std::int32_t /*stream*/, Http2Message /*message*/) override {}
-  void OnBodyRejected(std::int32_t /*stream*/, ResultCode /*code*/) override {}
-  void OnStreamClosed(std::int32_t /*stream*/, std::uint32_t /*http2_error*/) override {}
-  void OnPingAck() override {}
-  void OnSettings() override {}
-  void OnGoAway(std::uint32_t /*http2_error*/) override {}
-};
-
-// Returns the first bytes of a peer that allows more output than a socket buffers and, as a client,
-// requests `calls` bodies.
-std::string FirstBytes(Http2Role role, std::size_t calls) {
-  IgnoredEvents events;
-  Http2Session session(role, {kBodyBytes, kBodies * kBodyBytes, 1000}, &events);
-  for (std::size_t i = 0; i < calls; ++i) {
-    session.SubmitRequest("blob", std::to_string(kBodyBytes), kDefaultCallTimeout).value();
-  }
-  std::string bytes;
-  CPPUNIT_ASSERT(session.TakeOutput(&bytes, std::size_t{1} << 20U).has_value());
-  return bytes.append(kLargeWindow, sizeof(kLargeWindow) - 1);
-}
-
-// Makes the peer of `socket` use a small send buffer, which it cannot fill with one write.
-void UseSmallBuffers(int socket) {
-  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
-  setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
-}
 
 // Neither pings nor TCP_USER_TIMEOUT close a connection during a test.
 RpcOptions PatientOptions() {
@@ -75,9 +41,8 @@
 
 }  // namespace
 
-// A process with one thread and an RPC server and client in it, a second process that answers, and
-// raw sockets of peers
-// that stop reading.
+// One thread with an RPC server and clients, another one that stands for a second process, and raw
+// sockets of peers that stop reading.
 class UnreadOutputTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UnreadOutputTest);
   CPPUNIT_TEST(Server_PeersStopReadingResponses_ServesOthers);
@@ -103,7 +68,8 @@
       tcp::socket& peer = peers.emplace_back(io_, tcp::v4());
       UseSmallBuffers(peer.native_handle());
       peer.connect({asio::ip::make_address(kLoopback), port_});
-      asio::write(peer, asio::buffer(FirstBytes(Http2Role::kClient, kBodies)));
+      asio::write(peer, asio::buffer(FirstBytes(Http2Role::kClient, "blob",
+                                                std::to_string(kBodyBytes), kBodies)));
       ReadBytes(peer, i * kReadStepBytes);
       CheckIsReached(other);
     }
@@ -130,7 +96,7 @@
       }
       tcp::socket& peer = peers.emplace_back(io_);
       acceptor.accept(peer);
-      asio::write(peer, asio::buffer(FirstBytes(Http2Role::kServer, 0)));
+      asio::write(peer, asio::buffer(FirstBytes(Http2Role::kServer, "", "", 0)));
       ReadBytes(peer, i * kReadStepBytes);
       CheckIsReached(to_other);
     }
