End a process whose event loop stays stuck

The monitor of the event loop now ends the process with status 1 after 5 to 10 s without a handler, with the line event_loop_stuck. Suspensions do not count, since the checks pause with the process. Its disk state is what a kill leaves behind.

--- a/src/runtime/event_loop_monitor.cpp
+++ b/src/runtime/event_loop_monitor.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <cstdlib>
 #include <ctime>
 #include <mutex>
 #include <thread>
@@ -17,6 +18,9 @@
 namespace parsleyline::runtime {
 namespace {
 
+// Time for the last lines to be written to the log.
+constexpr Milliseconds kLogTime{300};
+
 Duration ProcessCpuTime() {
   timespec time{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
@@ -27,6 +31,12 @@
   return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+[[noreturn]] void EndProcess(Duration stalled) {
+  Event("event_loop_stuck", Severity::kError).With("ms", ToMillis(stalled)).With("action", "exit");
+  std::this_thread::sleep_for(kLogTime);
+  std::_Exit(EXIT_FAILURE);
+}
+
 }  // namespace
 
 void LogStall(const StallDetector::Finding& finding) {
@@ -60,7 +70,12 @@
     std::unique_lock lock(mutex);
     while (!wake_up.wait_for(lock, options.check_interval, [this] { return stopping.load(); })) {
       const auto finding = detector.Check({clock.Now(), last_run, ProcessCpuTime()});
-      if (finding) report(*finding);
+      if (!finding) continue;
+      report(*finding);
+      if (finding->kind == StallDetector::Kind::kStalled &&
+          finding->duration >= options.stuck_limit) {
+        EndProcess(finding->duration);
+      }
     }
   }
 
--- a/src/runtime/event_loop_monitor.h
+++ b/src/runtime/event_loop_monitor.h
@@ -20,13 +20,16 @@
   Milliseconds check_interval{250};
   /// Time without a handler after which a loop counts as stalled.
   Milliseconds stall_limit{700};
+  /// A process whose loop has stood still for this time when a stall is reported ends itself.
+  Milliseconds stuck_limit{5000};
 };
 
 /// Logs `finding` as `event_loop_stalled`, `event_loop_resumed` or `process_suspended`.
 void LogStall(const StallDetector::Finding& finding);
 
 /// Watches an event loop from a thread of its own, so that a process whose handlers do not run
-/// still says so.
+/// still says so. Ends a process that stays stuck: its peers reconnect to the next one, while
+/// connections to a stuck process only time out. Suspensions do not count.
 class EventLoopMonitor {
  public:
   using Report = std::function<void(const StallDetector::Finding&)>;
