Draw the series of faults of the soak from numbers of their own

Pauses of the cores in turn and peers that stop reading now come from a second random sequence beside the single faults, which are again those that a seed played before.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -30,6 +30,7 @@
                      StandinPlatform& platform, Operator& config_operator)
     : io_(io),
       random_(seed),
+      series_random_(~seed),
       processes_(processes),
       platform_(platform),
       operator_(config_operator),
@@ -52,6 +53,10 @@
   return milliseconds(least + static_cast<std::int64_t>(random_() % (most - least + 1)));
 }
 
+milliseconds FaultPlan::RandomSeriesDuration(std::int64_t least, std::int64_t most) {
+  return milliseconds(least + static_cast<std::int64_t>(series_random_() % (most - least + 1)));
+}
+
 void FaultPlan::LogFault(const std::string& description) {
   std::ostringstream line;
   line << std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_)
@@ -60,18 +65,32 @@
   log_.push_back(line.str());
 }
 
-void FaultPlan::Start() { InjectNextFault(); }
+void FaultPlan::Start() {
+  InjectNextFault();
+  InjectNextSeries();
+}
+
+// Series have random numbers of their own, so that a seed plays the same single faults as before
+// there were any.
+void FaultPlan::InjectNextSeries() {
+  if (!active_) return;
+  if (series_random_() % 2 == 0) {
+    PauseCoresInTurn();
+  } else {
+    StopReading();
+  }
+  RunAfter(io_, RandomSeriesDuration(2000, 8000), [this] { InjectNextSeries(); });
+}
 
 void FaultPlan::InjectNextFault() {
   if (!active_) return;
   using Fault = void (FaultPlan::*)();
   constexpr Fault kFaults[] = {
-      &FaultPlan::KillProcess,      &FaultPlan::PauseProcess,      &FaultPlan::RestartProcess,
-      &FaultPlan::ReloadProcess,    &FaultPlan::KillAllCores,      &FaultPlan::WipeCore,
-      &FaultPlan::CrashWorker,      &FaultPlan::HangWorker,        &FaultPlan::FailWorker,
-      &FaultPlan::SlowWorker,       &FaultPlan::DrainWorker,       &FaultPlan::DelayOrders,
-      &FaultPlan::ChangeConfig,     &FaultPlan::DisturbConnection, &FaultPlan::DisturbConnection,
-      &FaultPlan::PauseCoresInTurn, &FaultPlan::StopReading};
+      &FaultPlan::KillProcess,   &FaultPlan::PauseProcess,      &FaultPlan::RestartProcess,
+      &FaultPlan::ReloadProcess, &FaultPlan::KillAllCores,      &FaultPlan::WipeCore,
+      &FaultPlan::CrashWorker,   &FaultPlan::HangWorker,        &FaultPlan::FailWorker,
+      &FaultPlan::SlowWorker,    &FaultPlan::DrainWorker,       &FaultPlan::DelayOrders,
+      &FaultPlan::ChangeConfig,  &FaultPlan::DisturbConnection, &FaultPlan::DisturbConnection};
   (this->*kFaults[RandomBelow(std::size(kFaults))])();
   RunAfter(io_, RandomDuration(100, 1500), [this] { InjectNextFault(); });
 }
@@ -94,15 +113,15 @@
 // that has much to send to it, while it has calls to forward.
 void FaultPlan::PauseCoresInTurn() {
   LogFault("pause cores in turn");
-  PauseCore(RandomBelow(processes_.core_count()), 2 * processes_.core_count());
+  PauseCore(series_random_() % processes_.core_count(), 2 * processes_.core_count());
 }
 
 void FaultPlan::PauseCore(std::size_t number, std::size_t remaining) {
   if (!active_ || remaining == 0) return;
   processes_.Pause(number);
-  RunAfter(io_, RandomDuration(1000, 2500), [this, number, remaining] {
+  RunAfter(io_, RandomSeriesDuration(1000, 2500), [this, number, remaining] {
     processes_.Resume(number);
-    RunAfter(io_, RandomDuration(0, 700), [this, number, remaining] {
+    RunAfter(io_, RandomSeriesDuration(0, 700), [this, number, remaining] {
       PauseCore((number + 1) % processes_.core_count(), remaining - 1);
     });
   });
@@ -113,7 +132,7 @@
   LogFault("peers of the cores stop reading");
   const std::string calls = FirstBytes(transport::Http2Role::kClient, cell::kGetConfigMethod,
                                        wire::Encode(cell::ConfigQuery{}), kUnreadCalls);
-  const milliseconds duration = RandomDuration(1000, 5000);
+  const milliseconds duration = RandomSeriesDuration(1000, 5000);
   for (std::size_t core = 0; core < processes_.core_count(); ++core) {
     for (std::size_t i = 1; i <= kUnreadPeers; ++i) {
       const auto peer = std::make_shared<UnreadPeer>(io_, calls, i * kReadStepBytes);
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -30,6 +30,7 @@
 
  private:
   void InjectNextFault();
+  void InjectNextSeries();
   void KillProcess();
   void PauseProcess();
   void RestartProcess();
@@ -50,10 +51,12 @@
 
   std::size_t RandomBelow(std::size_t below) { return random_() % below; }
   milliseconds RandomDuration(std::int64_t least, std::int64_t most);
+  milliseconds RandomSeriesDuration(std::int64_t least, std::int64_t most);
   void LogFault(const std::string& description);
 
   boost::asio::io_context& io_;
   std::mt19937 random_;
+  std::mt19937 series_random_;
   Processes& processes_;
   StandinPlatform& platform_;
   Operator& operator_;
