--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -70,8 +70,8 @@
   InjectNextSeries();
 }
 
-// Series have random numbers of their own, so that a seed plays the same single faults as before
-// there were any.
+// Series draw from random numbers of their own, so that they do not change which single faults a
+// seed injects.
 void FaultPlan::InjectNextSeries() {
   if (!active_) return;
   if (series_random_() % 2 == 0) {
