Log steps that wait although the cell has capacity, and why

Every 5 s, if at least half of the capacity is free, the leader now logs each step that has waited 5 s without a run (step_overdue) with the reason and the state of its calls to the advisor, and each worker that gets no holds (hold_overdue). Both are counted too.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -256,6 +256,7 @@
     std::erase_if(advisor_clients_, [now](const auto& it) {
       return now - it.second.last_seen > kMaxClientSilence && !it.second.step_in_flight;
     });
+    ReportOverdueWork();
   }
   RunSchedulingPass();
 }
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -37,6 +37,28 @@
 /// Returns the wall-clock time. Used for times that must stay valid after a change of leader.
 using UnixTimeSource = std::function<job::UnixMillis()>;
 
+/// Why a step with waiting tasks has not been started.
+enum class WaitReason : std::uint8_t {
+  /// It is not among the steps that are scheduled.
+  kNotQueued,
+  /// The configuration in force lacks the queue of its job.
+  kNoQueue,
+  /// A gang with a run that has not ended.
+  kOpenRun,
+  /// No worker can get tasks.
+  kNoWorker,
+  /// It fits into no selection of workers.
+  kNoCapacity,
+  /// It does not fit into the workers that the advisor has not rejected.
+  kNotApproved,
+  /// It would fit if the advisor approved workers that it has not decided about.
+  kUndecided,
+  /// It fits into approved workers, but usable tickets are missing.
+  kNoTicket,
+  /// It fits and should start in the next pass.
+  kFits,
+};
+
 /// Schedules the jobs of a cell while this process is the leader of the replicated log. Performs no
 /// I/O: its methods receive events, and it sends orders through the Outbox. Not thread-safe.
 ///
@@ -104,6 +126,10 @@
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
     std::uint64_t advice_calls = 0;
+    /// Steps that wait without a run although the cell has capacity, and workers whose holds are
+    /// not answered in time and have not failed, as of the last check.
+    std::size_t overdue_steps = 0;
+    std::size_t overdue_holds = 0;
   };
   Counts counts() const;
 
@@ -194,6 +220,12 @@
   void StartTask(WaitingStep* waiting, const job::RunKey& key, const std::string& checkpoint,
                  Worker* worker, SchedulingPass* pass);
   void RemoveEndedJobs();
+  /// Logs the steps that wait without a run although the cell has capacity, each with the reason,
+  /// and the workers that get no holds.
+  void ReportOverdueWork();
+  void ReportIfOverdue(const job::Job& job, const job::StepKey& key, const SchedulingPass& pass);
+  WaitReason DiagnoseWait(const WaitingStep& waiting, const job::StepSpec& step,
+                          const SchedulingPass& pass) const;
   void ProposeBatch();
   void CallWhenDurable(CommitCallback done);
 
@@ -228,6 +260,7 @@
   std::set<job::JobId> timed_jobs_;
   TimePoint next_worker_check_;
   TimePoint next_migration_check_;
+  TimePoint next_diagnosis_;
   TimePoint last_tick_;
   /// True after this process was suspended, until it has confirmed that it is still the leader.
   bool is_confirming_leadership_ = false;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -89,6 +89,7 @@
   if (waiting != nullptr) return;
   waiting = std::make_unique<WaitingStep>();
   waiting->key = key;
+  waiting->queued_at = clock_.Now();
   waiting->queue = queue.id;
   waiting->priority = queue.priority;
   const job::UnixMillis ready_at =
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -14,6 +14,8 @@
   std::uint32_t priority = 0;
   /// When the job was accepted, or when the occurrence was due.
   TimePoint accepted_at;
+  /// When its tasks began to wait.
+  TimePoint queued_at;
   AdvisorDecisions decisions;
   /// Advisor calls in flight.
   std::int32_t calls_in_flight = 0;
