Match replies of the advisor to calls by number

What callers can see: an accepted step that is never started although workers are free, for as long as this leader leads. A reply was matched to the call in flight by the client and the step alone. After a leadership that was lost and won again within the time of a call, the reply to the earlier call was taken for the reply to the later one: all workers of the later call that the earlier one did not name were recorded as rejected, which is never asked again, and the reply about them was dropped. The count of calls in flight of a step could go wrong as well when the step left the waiting steps and came back meanwhile.

Each call now has a number that is not sent; a reply with another number than the call in flight changes nothing, and a step keeps the numbers of its calls instead of a count.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -82,7 +82,7 @@
   timed_jobs_.clear();
   pending_starts_.clear();
   pending_stops_.clear();
-  for (auto& [id, client] : advisor_clients_) client.step_in_flight.reset();
+  for (auto& [id, client] : advisor_clients_) client.call.reset();
   next_batch_ = {};
   std::vector<CommitCallback> callbacks = std::move(next_batch_callbacks_);
   next_batch_callbacks_.clear();
@@ -254,7 +254,7 @@
       MigrateRunsAtRisk();
     }
     std::erase_if(advisor_clients_, [now](const auto& it) {
-      return now - it.second.last_seen > kMaxClientSilence && !it.second.step_in_flight;
+      return now - it.second.last_seen > kMaxClientSilence && !it.second.call;
     });
     ReportOverdueWork();
   }
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -136,6 +136,7 @@
  private:
   struct WaitingStep;
   struct SchedulingPass;
+  struct AdvisorCall;
 
   // Workers and runs.
 
@@ -213,6 +214,8 @@
   Duration ExpectedGangWait(const WaitingStep& waiting, const SchedulingPass& pass) const;
   void QueryUndecidedWorkers(WaitingStep* waiting, SchedulingPass* pass);
   void QueryAdvisor(WaitingStep* waiting, std::vector<const Worker*> workers, SchedulingPass* pass);
+  /// Removes a call that was answered or given up from its step.
+  void EndAdvisorCall(const AdvisorCall& call);
   void QueryWorkersWithCapacity(WaitingStep* waiting, std::uint32_t tasks, SchedulingPass* pass);
   std::vector<std::uint32_t> FindWaitingTasks(const WaitingStep& waiting) const;
   std::map<WorkerId, std::uint32_t> CountRunsByWorker(const job::StepKey& step) const;
@@ -241,15 +244,20 @@
   WorkerRoster roster_;
   std::map<job::RunKey, WorkerId> worker_by_run_;
   std::map<job::StepKey, std::unique_ptr<WaitingStep>> waiting_steps_;
+  /// A call to the advisor that has not been answered.
+  struct AdvisorCall {
+    AdvisorCallNumber number;
+    job::StepKey step;
+    TimePoint sent_at;
+    std::vector<QueriedWorker> queried_workers;
+  };
   /// A process that can call the advisor.
   struct AdvisorClient {
     TimePoint last_seen;
-    /// Step of the call in flight, if any.
-    std::optional<job::StepKey> step_in_flight;
-    TimePoint query_sent_at;
-    std::vector<QueriedWorker> queried_workers;
+    std::optional<AdvisorCall> call;
   };
   std::map<NodeId, AdvisorClient> advisor_clients_;
+  AdvisorCallNumber next_call_number_{1};
   std::map<job::JobId, std::vector<SubmitCallback>> pending_submits_;
   /// Task durations by queue. Not replicated; each leader learns them again.
   std::map<job::QueueId, DurationModel> duration_models_;
--- a/src/dispatch/coordinator_diagnosis.cpp
+++ b/src/dispatch/coordinator_diagnosis.cpp
@@ -98,7 +98,7 @@
       .With("decided", waiting.decisions.DecidedCount())
       .With("approved", approved)
       .With("tickets", usable_tickets)
-      .With("calls_in_flight", waiting.calls_in_flight)
+      .With("calls_in_flight", waiting.calls_in_flight.size())
       .With("idle_callers", pass.idle_clients.size())
       .With("callers", advisor_clients_.size())
       .With("reserved", waiting.reserved_slots.size());
--- a/src/dispatch/coordinator_gangs.cpp
+++ b/src/dispatch/coordinator_gangs.cpp
@@ -84,7 +84,8 @@
 void Coordinator::QueryUndecidedWorkers(WaitingStep* waiting, SchedulingPass* pass) {
   const bool is_first_query = waiting->decisions.DecidedCount() == 0;
   const bool is_due = waiting->reserved_slots.empty() && pass->now >= waiting->next_undecided_query;
-  if (waiting->calls_in_flight > 0 || pass->idle_clients.empty() || (!is_first_query && !is_due)) {
+  if (!waiting->calls_in_flight.empty() || pass->idle_clients.empty() ||
+      (!is_first_query && !is_due)) {
     return;
   }
   waiting->next_undecided_query = pass->now + kUndecidedQueryInterval;
@@ -186,7 +187,7 @@
 
 void Coordinator::RenewTickets(WaitingStep* waiting, Duration expected_wait, SchedulingPass* pass) {
   const job::QueueSettings& queue = *pass->config->Find(waiting->queue);
-  if (queue.needs_ticket == 0 || waiting->calls_in_flight > 0) return;
+  if (queue.needs_ticket == 0 || !waiting->calls_in_flight.empty()) return;
   std::vector<const Worker*> reserved;
   bool ticket_expires = false;
   for (const std::uint32_t it : waiting->reserved_slots) {
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -155,18 +155,21 @@
     }
   }
   for (auto& [id, client] : advisor_clients_) {
-    if (client.step_in_flight && pass->now - client.query_sent_at > kAdvisorCallTimeout) {
-      if (const auto it = waiting_steps_.find(*client.step_in_flight); it != waiting_steps_.end()) {
-        --it->second->calls_in_flight;
-      }
-      client.step_in_flight.reset();
+    if (client.call && pass->now - client.call->sent_at > kAdvisorCallTimeout) {
+      EndAdvisorCall(*client.call);
+      client.call.reset();
     }
-    if (!client.step_in_flight && pass->now - client.last_seen < kAdvisorCallTimeout) {
+    if (!client.call && pass->now - client.last_seen < kAdvisorCallTimeout) {
       pass->idle_clients.push_back(id);
     }
   }
 }
 
+void Coordinator::EndAdvisorCall(const AdvisorCall& call) {
+  const auto it = waiting_steps_.find(call.step);
+  if (it != waiting_steps_.end()) it->second->calls_in_flight.erase(call.number);
+}
+
 void Coordinator::ScheduleWaitingSteps() {
   if (waiting_steps_.empty()) return;
   SchedulingPass pass;
@@ -300,7 +303,7 @@
 
 void Coordinator::QueryWorkersWithCapacity(WaitingStep* waiting, std::uint32_t tasks,
                                            SchedulingPass* pass) {
-  if (waiting->calls_in_flight > 0 || pass->now < waiting->next_query ||
+  if (!waiting->calls_in_flight.empty() || pass->now < waiting->next_query ||
       pass->idle_clients.empty()) {
     return;
   }
@@ -350,32 +353,33 @@
   if (pass->idle_clients.size() <= reserved_clients) return;
   const NodeId client_id = pass->idle_clients.back();
   pass->idle_clients.pop_back();
-  AdvisorQuery query{waiting->key, {}};
-  AdvisorClient& client = advisor_clients_[client_id];
-  client.step_in_flight = waiting->key;
-  client.query_sent_at = pass->now;
-  client.queried_workers.clear();
+  AdvisorQuery query{waiting->key, {}, next_call_number_};
+  next_call_number_ = AdvisorCallNumber(next_call_number_.value() + 1);
+  AdvisorCall call{query.number, waiting->key, pass->now, {}};
   for (const Worker* it : workers) {
     query.workers.push_back(it->id());
-    client.queried_workers.push_back({it->id(), it->slot});
+    call.queried_workers.push_back({it->id(), it->slot});
   }
-  ++waiting->calls_in_flight;
+  advisor_clients_[client_id].call = std::move(call);
+  waiting->calls_in_flight.insert(query.number);
   ++counts_.advice_calls;
   outbox_.QueryAdvisor(client_id, query);
 }
 
 void Coordinator::OnAdvisorReply(const NodeId& client_id, const AdvisorQuery& query,
                                  const AdvisorReply& reply) {
-  AdvisorClient& client = advisor_clients_[client_id];
-  const bool expected = client.step_in_flight && *client.step_in_flight == query.step;
-  if (!expected) return;
-  client.step_in_flight.reset();
-  const auto it = waiting_steps_.find(query.step);
+  const auto client = advisor_clients_.find(client_id);
+  if (client == advisor_clients_.end() || !client->second.call) return;
+  // The reply may answer a call of an earlier leadership, or one that was given up. Another call
+  // about the same step, which names other workers, may be in flight.
+  if (client->second.call->number != query.number) return;
+  const AdvisorCall call = *std::exchange(client->second.call, std::nullopt);
+  EndAdvisorCall(call);
+  const auto it = waiting_steps_.find(call.step);
   if (!is_leader_ || it == waiting_steps_.end()) return;
   WaitingStep& waiting = *it->second;
-  --waiting.calls_in_flight;
   waiting.next_attempt = TimePoint();
-  waiting.decisions.RecordReply(client.queried_workers, reply, clock_.Now());
+  waiting.decisions.RecordReply(call.queried_workers, reply, clock_.Now());
   if (reply.answered == 0) waiting.next_query = clock_.Now() + kQueryRetryInterval;
   Event("advice")
       .With("step", query.step)
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -122,10 +122,15 @@
   std::vector<FinishedRun> finished;
 };
 
+/// Number of a call to the advisor. Never used twice by a coordinator.
+using AdvisorCallNumber = StrongId<struct AdvisorCallNumberTag, std::uint64_t>;
+
 /// Asks the advisor which workers may run a step.
 struct AdvisorQuery {
   job::StepKey step;
   std::vector<WorkerId> workers;
+  /// Tells the coordinator which call a reply answers. Not sent.
+  AdvisorCallNumber number;
 
   auto Fields() { return std::tie(step, workers); }
 };
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "dispatch/coordinator.h"
@@ -18,7 +19,7 @@
   TimePoint queued_at;
   AdvisorDecisions decisions;
   /// Advisor calls in flight.
-  std::int32_t calls_in_flight = 0;
+  std::set<AdvisorCallNumber> calls_in_flight;
   TimePoint next_query;
   TimePoint next_undecided_query;
   /// Latency objective and remaining critical path of the job, and when they are computed again.
