Repeat a failed call to the advisor through another client

What callers see: one or two accepted steps are never started although most workers are free, while later jobs are served.

The idle client with the highest name got each call. When the load is low, the last waiting steps get just these clients, again and again; under load other steps take them in turn.

Clients now take turns: the one that was idle for the longest time is next. A client whose call brought no decision comes after the others and rests for 0.5 to 4 s, unless all of them rest.

CellFaultsTest plays leaders, workers and clients with seeded faults in virtual time. AdvisorCallsTest::Call_ClientThatNeverAnswers_IsRepeatedByAnother fails on the code before (1 client called instead of 3).

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -136,7 +136,7 @@
  private:
   struct WaitingStep;
   struct SchedulingPass;
-  struct AdvisorCall;
+  struct AdvisorClient;
 
   // Workers and runs.
 
@@ -202,6 +202,8 @@
   std::vector<Candidate> FindCandidates(const WaitingStep& waiting, const SchedulingPass& pass,
                                         AdvisorFilter filter) const;
   void BeginPass(SchedulingPass* pass);
+  /// Ends calls that take too long, and collects the clients that can take a call.
+  void FindIdleClients(SchedulingPass* pass);
   void ReserveCapacity(WaitingStep* waiting, const std::vector<Candidate>& approved,
                        SchedulingPass* pass);
   void ReserveAndRequestTickets(WaitingStep* waiting, const std::vector<WorkerId>& chosen,
@@ -214,8 +216,9 @@
   Duration ExpectedGangWait(const WaitingStep& waiting, const SchedulingPass& pass) const;
   void QueryUndecidedWorkers(WaitingStep* waiting, SchedulingPass* pass);
   void QueryAdvisor(WaitingStep* waiting, std::vector<const Worker*> workers, SchedulingPass* pass);
-  /// Removes a call that was answered or given up from its step.
-  void EndAdvisorCall(const AdvisorCall& call);
+  /// Removes a call that was answered or given up from its step, and updates the failure history
+  /// of its client.
+  void EndAdvisorCall(AdvisorClient* client, bool decided);
   void QueryWorkersWithCapacity(WaitingStep* waiting, std::uint32_t tasks, SchedulingPass* pass);
   std::vector<std::uint32_t> FindWaitingTasks(const WaitingStep& waiting) const;
   std::map<WorkerId, std::uint32_t> CountRunsByWorker(const job::StepKey& step) const;
@@ -255,6 +258,12 @@
   struct AdvisorClient {
     TimePoint last_seen;
     std::optional<AdvisorCall> call;
+    /// Number of the last call, which tells how long ago the client was used.
+    AdvisorCallNumber last_call;
+    /// Calls without a decision since the last decision. The client gets no call before `retry_at`
+    /// while others are idle.
+    std::uint32_t failed_calls = 0;
+    TimePoint retry_at;
   };
   std::map<NodeId, AdvisorClient> advisor_clients_;
   AdvisorCallNumber next_call_number_{1};
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 #include "base/event_log.h"
@@ -28,6 +29,9 @@
 // A call without a reply after this time is given up, and the client is used again.
 constexpr Milliseconds kAdvisorCallTimeout{5000};
 constexpr Milliseconds kQueryRetryInterval{200};
+// A client whose call failed is not used for this time, which doubles with each further failure.
+constexpr Milliseconds kFirstClientBackoff{500};
+constexpr std::uint32_t kMaxClientBackoffDoublings = 3;
 // Interval at which a step that does not fit is considered again. Free capacity changes within tens
 // of milliseconds, so that a shorter interval would waste passes.
 constexpr Milliseconds kNoCapacityRetryInterval{30};
@@ -154,20 +158,47 @@
       pass->capacity_by_slot[it].reserved_for = waiting.get();
     }
   }
+  FindIdleClients(pass);
+}
+
+// A client that registers may still fail its calls, for example if its own connection to the
+// advisor is broken. The step of such a call waits for the time-out, so that the client is avoided
+// after it. Otherwise the client that was idle for the longest time gets the next call.
+void Coordinator::FindIdleClients(SchedulingPass* pass) {
+  std::vector<std::pair<NodeId, const AdvisorClient*>> idle;
   for (auto& [id, client] : advisor_clients_) {
     if (client.call && pass->now - client.call->sent_at > kAdvisorCallTimeout) {
-      EndAdvisorCall(*client.call);
-      client.call.reset();
+      EndAdvisorCall(&client, false);
     }
     if (!client.call && pass->now - client.last_seen < kAdvisorCallTimeout) {
-      pass->idle_clients.push_back(id);
+      idle.emplace_back(id, &client);
     }
   }
+  const bool any_usable = std::any_of(idle.begin(), idle.end(), [pass](const auto& it) {
+    return it.second->retry_at <= pass->now;
+  });
+  if (any_usable) {
+    std::erase_if(idle, [pass](const auto& it) { return it.second->retry_at > pass->now; });
+  }
+  const auto rank = [](const auto& it) {
+    return std::tuple(it.second->failed_calls, it.second->last_call, it.first);
+  };
+  std::sort(idle.begin(), idle.end(),
+            [&rank](const auto& a, const auto& b) { return rank(a) > rank(b); });
+  for (const auto& [id, client] : idle) pass->idle_clients.push_back(id);
 }
 
-void Coordinator::EndAdvisorCall(const AdvisorCall& call) {
+void Coordinator::EndAdvisorCall(AdvisorClient* client, bool decided) {
+  const AdvisorCall call = *std::exchange(client->call, std::nullopt);
   const auto it = waiting_steps_.find(call.step);
   if (it != waiting_steps_.end()) it->second->calls_in_flight.erase(call.number);
+  if (decided) {
+    client->failed_calls = 0;
+    client->retry_at = TimePoint();
+    return;
+  }
+  const std::uint32_t doublings = std::min(client->failed_calls++, kMaxClientBackoffDoublings);
+  client->retry_at = clock_.Now() + kFirstClientBackoff * (1U << doublings);
 }
 
 void Coordinator::ScheduleWaitingSteps() {
@@ -360,7 +391,9 @@
     query.workers.push_back(it->id());
     call.queried_workers.push_back({it->id(), it->slot});
   }
-  advisor_clients_[client_id].call = std::move(call);
+  AdvisorClient& client = advisor_clients_[client_id];
+  client.last_call = query.number;
+  client.call = std::move(call);
   waiting->calls_in_flight.insert(query.number);
   ++counts_.advice_calls;
   outbox_.QueryAdvisor(client_id, query);
@@ -373,8 +406,8 @@
   // The reply may answer a call of an earlier leadership, or one that was given up. Another call
   // about the same step, which names other workers, may be in flight.
   if (client->second.call->number != query.number) return;
-  const AdvisorCall call = *std::exchange(client->second.call, std::nullopt);
-  EndAdvisorCall(call);
+  const AdvisorCall call = *client->second.call;
+  EndAdvisorCall(&client->second, reply.answered != 0);
   const auto it = waiting_steps_.find(call.step);
   if (!is_leader_ || it == waiting_steps_.end()) return;
   WaitingStep& waiting = *it->second;
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -63,6 +63,7 @@
   /// gang in the order of the pass.
   bool gang_is_waiting = false;
   std::uint32_t waiting_gang_priority = 0;
+  /// Processes that can call the advisor now, the preferred one last.
   std::vector<NodeId> idle_clients;
 };
 
--- a/tests/dispatch/advisor_calls_test.cpp
+++ b/tests/dispatch/advisor_calls_test.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "tests/dispatch/coordinator_fixture.h"
 
 namespace parsleyline::dispatch {
@@ -6,6 +8,8 @@
 class AdvisorCallsTest : public CoordinatorFixture {
   CPPUNIT_TEST_SUITE(AdvisorCallsTest);
   CPPUNIT_TEST(Reply_ToCallOfEarlierLeadership_DecidesNothing);
+  CPPUNIT_TEST(Call_ClientThatNeverAnswers_IsRepeatedByAnother);
+  CPPUNIT_TEST(Call_AllClientsHaveFailed_IsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,6 +44,38 @@
     CPPUNIT_ASSERT(WorkerId("w2") == outbox_->starts.front().to.incarnation.worker);
   }
 
+  // Guards against a step that is never started because each of its calls goes to the same client,
+  // which registers and cannot reach the advisor.
+  void Call_ClientThatNeverAnswers_IsRepeatedByAnother() {
+    for (const char* it : {"c1", "c2", "c3"}) coordinator_->RegisterAdvisorClient(NodeId(it));
+    AddWorker("w1");
+    Submit("j", Spec(1, 1000));
+    std::set<NodeId> called;
+    for (std::size_t i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(i + 1, outbox_->advisor_queries.size());
+      const auto [client, query] = outbox_->advisor_queries.back();
+      called.insert(client);
+      coordinator_->OnAdvisorReply(client, query, AdvisorReply());
+      Advance(300);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, called.size());
+  }
+
+  // Guards against an advisor that is not called any more after an outage.
+  void Call_AllClientsHaveFailed_IsRepeated() {
+    coordinator_->RegisterAdvisorClient(NodeId("c"));
+    AddWorker("w1");
+    Submit("j", Spec(1, 1000));
+    for (std::size_t i = 0; i < 8; ++i) {
+      const auto [client, query] = outbox_->advisor_queries.back();
+      coordinator_->OnAdvisorReply(client, query, AdvisorReply());
+      Advance(300);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, outbox_->advisor_queries.size());
+    ApproveLastQuery(Milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+  }
+
  private:
   /// Approves all workers of a call of client "c".
   void ReplyTo(const AdvisorQuery& query) {
--- /dev/null
+++ b/tests/dispatch/cell_faults_test.cpp
@@ -0,0 +1,56 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "base/event_log.h"
+#include "tests/dispatch/cell_simulation.h"
+
+namespace parsleyline::dispatch {
+
+/// Plays faults of leaders, workers and the advisor's clients in virtual time. After them, every
+/// accepted job has to end.
+class CellFaultsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CellFaultsTest);
+  CPPUNIT_TEST(AcceptedJobs_FaultsOfEveryKind_End);
+  CPPUNIT_TEST(AcceptedJobs_TwoClientsNeverAnswer_End);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { SetMinimumSeverity(Severity::kError); }
+  void tearDown() override { SetMinimumSeverity(Severity::kInfo); }
+
+  void AcceptedJobs_FaultsOfEveryKind_End() {
+    for (std::uint32_t seed = 1; seed <= 8; ++seed) {
+      CellSetup setup;
+      setup.seed = seed;
+      Play(setup);
+    }
+  }
+
+  // Guards against steps that are never started because all their calls to the advisor go to a
+  // client that registers and whose calls fail.
+  void AcceptedJobs_TwoClientsNeverAnswer_End() {
+    for (std::uint32_t seed = 1; seed <= 8; ++seed) {
+      CellSetup setup;
+      setup.seed = seed;
+      setup.mute_clients = 2;
+      setup.gang_share = 1;
+      Play(setup);
+    }
+  }
+
+ private:
+  static void Play(const CellSetup& setup) {
+    CellSimulation simulation(setup);
+    simulation.Run();
+    std::string violations;
+    for (const std::string& it : simulation.violations()) violations += it + '\n';
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(setup.seed), std::string(), violations);
+    CPPUNIT_ASSERT(simulation.leader_changes() > 1 && simulation.accepted_jobs() > 10 &&
+                   simulation.started_runs() > simulation.accepted_jobs());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CellFaultsTest);
+
+}  // namespace parsleyline::dispatch
