Keep the settings of removed queues while jobs need them

What callers can see: an accepted job is never started, or ends as failed after the first failure of a task, if its queue is removed from the configuration after the job was accepted. A leader dropped the steps of such a job whenever it looked at them again, for example at the end of a run, and nothing brought them back when a later configuration had the queue again. The number of attempts counted as 1.

The replicated state now keeps the settings of removed queues that have open jobs, and those of the last configuration. Scheduling, attempts and the diagnosis read them through FindQueue().

--- a/src/dispatch/coordinator_diagnosis.cpp
+++ b/src/dispatch/coordinator_diagnosis.cpp
@@ -65,7 +65,7 @@
   const job::StepSpec& step = job.spec.steps[key.step];
   const auto it = waiting_steps_.find(key);
   if (it == waiting_steps_.end()) {
-    const bool has_queue = pass.config->Find(job.queue) != nullptr;
+    const bool has_queue = cell_state_.FindQueue(job.queue) != nullptr;
     ++counts_.overdue_steps;
     Event("step_overdue", Severity::kWarning)
         .With("step", key)
@@ -113,7 +113,7 @@
 
 WaitReason Coordinator::DiagnoseWait(const WaitingStep& waiting, const job::StepSpec& step,
                                      const SchedulingPass& pass) const {
-  const job::QueueSettings* queue = pass.config->Find(waiting.queue);
+  const job::QueueSettings* queue = cell_state_.FindQueue(waiting.queue);
   if (queue == nullptr) return WaitReason::kNoQueue;
   const bool is_gang = step.Has(job::StepFlag::kGang);
   if (is_gang && HasOpenRun(waiting.key)) return WaitReason::kOpenRun;
--- a/src/dispatch/coordinator_gangs.cpp
+++ b/src/dispatch/coordinator_gangs.cpp
@@ -39,7 +39,7 @@
   if (HasOpenRun(waiting->key)) return;
   waiting->next_attempt = pass->now + kGangRetryInterval;
   const job::StepSpec& step = cell_state_.Find(waiting->key.job)->spec.steps[waiting->key.step];
-  const job::QueueSettings& queue = *pass->config->Find(waiting->queue);
+  const job::QueueSettings& queue = *cell_state_.FindQueue(waiting->queue);
   if (queue.needs_ticket != 0) QueryUndecidedWorkers(waiting, pass);
   // Prefer workers with usable tickets: any other choice, even a tighter one, needs another call.
   std::vector<WorkerId> chosen =
@@ -186,7 +186,7 @@
 }
 
 void Coordinator::RenewTickets(WaitingStep* waiting, Duration expected_wait, SchedulingPass* pass) {
-  const job::QueueSettings& queue = *pass->config->Find(waiting->queue);
+  const job::QueueSettings& queue = *cell_state_.FindQueue(waiting->queue);
   if (queue.needs_ticket == 0 || !waiting->calls_in_flight.empty()) return;
   std::vector<const Worker*> reserved;
   bool ticket_expires = false;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -68,7 +68,7 @@
 void Coordinator::UpdateWaitingSteps(const job::JobId& id) {
   const job::Job* job = cell_state_.Find(id);
   const job::QueueSettings* queue =
-      job == nullptr || job->HasEnded() ? nullptr : cell_state_.config().Find(job->queue);
+      job == nullptr || job->HasEnded() ? nullptr : cell_state_.FindQueue(job->queue);
   if (queue == nullptr) {
     timed_jobs_.erase(id);
     auto it = waiting_steps_.lower_bound({id, 0, 0});
@@ -123,7 +123,7 @@
   for (const job::JobId& id : cell_state_.open_jobs()) {
     const job::Job& job = *cell_state_.Find(id);
     if (job.spec.IsTimed()) continue;
-    const job::QueueSettings* queue = cell_state_.config().Find(job.queue);
+    const job::QueueSettings* queue = cell_state_.FindQueue(job.queue);
     if (queue == nullptr) continue;
     const Duration age = Milliseconds(unix_now.value() - job.accepted_at.value());
     const DurationModel& durations = duration_models_[job.queue];
@@ -144,7 +144,6 @@
 
 void Coordinator::BeginPass(SchedulingPass* pass) {
   pass->now = clock_.Now();
-  pass->config = &cell_state_.config();
   pass->capacity_by_slot.resize(roster_.SlotCount());
   for (auto& [id, worker] : roster_.workers()) {
     if (!worker.IsSchedulable(pass->now)) continue;
@@ -210,7 +209,7 @@
   order.reserve(waiting_steps_.size());
   for (const auto& [key, waiting] : waiting_steps_) {
     const job::Job* job = cell_state_.Find(key.job);
-    const job::QueueSettings* queue = pass.config->Find(waiting->queue);
+    const job::QueueSettings* queue = cell_state_.FindQueue(waiting->queue);
     if (job == nullptr || queue == nullptr) continue;
     if (pass.now >= waiting->next_estimate) {
       waiting->next_estimate = pass.now + kEstimateInterval;
@@ -273,7 +272,7 @@
                                                    const SchedulingPass& pass,
                                                    AdvisorFilter filter) const {
   const job::StepSpec& step = cell_state_.Find(waiting.key.job)->spec.steps[waiting.key.step];
-  const job::QueueSettings& queue = *pass.config->Find(waiting.queue);
+  const job::QueueSettings& queue = *cell_state_.FindQueue(waiting.queue);
   const auto running = step.max_per_worker > 0 ? CountRunsByWorker(waiting.key)
                                                : std::map<WorkerId, std::uint32_t>();
   const bool needs_ticket = queue.needs_ticket != 0;
@@ -328,7 +327,7 @@
   if (chosen.empty() && !has_low_slack) {
     waiting->next_attempt = pass->now + kNoCapacityRetryInterval;
   }
-  if (pass->config->Find(waiting->queue)->needs_ticket == 0) return;
+  if (cell_state_.FindQueue(waiting->queue)->needs_ticket == 0) return;
   QueryWorkersWithCapacity(waiting, static_cast<std::uint32_t>(tasks.size() - chosen.size()), pass);
 }
 
@@ -358,7 +357,7 @@
                      if (is_approved(a) != is_approved(b)) return is_approved(a);
                      return a.free.cpu > b.free.cpu;
                    });
-  const std::size_t min_named = MinNamedWorkers(pass->config->Find(waiting->queue)->advisor);
+  const std::size_t min_named = MinNamedWorkers(cell_state_.FindQueue(waiting->queue)->advisor);
   std::vector<const Worker*> named_workers;
   std::size_t expected_permille = 0;
   for (const Candidate& it : candidates) {
@@ -376,7 +375,7 @@
                                SchedulingPass* pass) {
   if (pass->now < waiting->next_query || workers.empty()) return;
   if (workers.size() > kMaxWorkersPerCall) workers.resize(kMaxWorkersPerCall);
-  const job::QueueSettings& queue = *pass->config->Find(waiting->queue);
+  const job::QueueSettings& queue = *cell_state_.FindQueue(waiting->queue);
   const Duration call_duration =
       AdvisorCallDuration(queue.advisor, static_cast<std::int64_t>(workers.size()));
   const std::size_t reserved_clients =
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -39,7 +39,6 @@
 /// State of one scheduling pass.
 struct Coordinator::SchedulingPass {
   TimePoint now;
-  const job::CellConfig* config = nullptr;
   /// A worker with the capacity that is still free in this pass. `worker` is null for a slot whose
   /// worker is gone or not schedulable.
   struct WorkerCapacity {
--- a/src/job/cell_state.cpp
+++ b/src/job/cell_state.cpp
@@ -1,6 +1,7 @@
 #include "job/cell_state.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "wire/codec.h"
@@ -40,8 +41,7 @@
 AppliedChanges CellState::Apply(const CommandBatch& batch) {
   AppliedChanges changes;
   if (batch.config.version > config_.version) {
-    config_ = batch.config;
-    config_.BuildIndex();
+    ApplyConfig(batch);
     changes.config_changed = true;
   }
   for (const WorkerReport& it : batch.reports) ApplyReport(it);
@@ -62,6 +62,25 @@
   return changes;
 }
 
+// Keeps the settings of removed queues that have open jobs. Those of the last configuration are
+// kept in any case, because a job that was admitted under it may be applied later.
+void CellState::ApplyConfig(const CommandBatch& batch) {
+  const CellConfig previous = std::exchange(config_, batch.config);
+  config_.BuildIndex();
+  std::set<QueueId> used;
+  for (const JobId& it : open_jobs_) used.insert(jobs_.at(it).queue);
+  for (const SubmitRecord& it : batch.submits) used.insert(it.queue);
+  std::erase_if(removed_queues_, [&used](const auto& it) { return !used.contains(it.first); });
+  for (const QueueSettings& it : previous.queues) removed_queues_.insert_or_assign(it.id, it);
+  for (const QueueSettings& it : config_.queues) removed_queues_.erase(it.id);
+}
+
+const QueueSettings* CellState::FindQueue(const QueueId& id) const {
+  if (const QueueSettings* queue = config_.Find(id); queue != nullptr) return queue;
+  const auto it = removed_queues_.find(id);
+  return it == removed_queues_.end() ? nullptr : &it->second;
+}
+
 void CellState::ApplyReport(const WorkerReport& report) {
   WorkerReport& known = registered_workers_[report.incarnation.worker];
   if (report.incarnation.started_at < known.incarnation.started_at) return;
@@ -175,7 +194,7 @@
 }
 
 void CellState::RecordTaskFailure(Job* job, const EndRecord& record, AppliedChanges* changes) {
-  const QueueSettings* queue = config_.Find(job->queue);
+  const QueueSettings* queue = FindQueue(job->queue);
   const std::uint32_t attempts = queue == nullptr ? 1 : queue->max_attempts;
   StepState& step = job->occurrences[record.task.step.occurrence].steps[record.task.step.step];
   std::uint32_t failures = ++step.tasks[record.task.index].failures;
--- a/src/job/cell_state.h
+++ b/src/job/cell_state.h
@@ -132,6 +132,9 @@
 
   const Job* Find(const JobId& id) const;
   const CellConfig& config() const { return config_; }
+  /// Returns the settings of a queue: those of the configuration in force, or the last ones of a
+  /// queue that was removed while jobs of it may be open. Null for an unknown queue.
+  const QueueSettings* FindQueue(const QueueId& id) const;
   const std::unordered_map<JobId, Job>& jobs() const { return jobs_; }
   /// Jobs that have not ended. Far fewer than jobs(), which keeps ended jobs for queries of
   /// callers.
@@ -146,6 +149,7 @@
   std::uint64_t PendingCount(const QueueId& queue) const;
 
  private:
+  void ApplyConfig(const CommandBatch& batch);
   void ApplyReport(const WorkerReport& report);
   void ApplySubmit(const SubmitRecord& record, AppliedChanges* changes);
   void ApplyEnd(const EndRecord& record, AppliedChanges* changes);
@@ -164,6 +168,8 @@
   std::map<RunKey, OpenRun> open_runs_;
   std::map<WorkerId, WorkerReport> registered_workers_;
   CellConfig config_;
+  /// Queues that the configuration no longer has. Their accepted jobs still run.
+  std::map<QueueId, QueueSettings> removed_queues_;
 };
 
 }  // namespace parsleyline::job
--- a/src/job/cell_state_codec.cpp
+++ b/src/job/cell_state_codec.cpp
@@ -9,8 +9,9 @@
   std::vector<Job> jobs;
   std::vector<OpenRun> open_runs;
   std::vector<WorkerReport> registered_workers;
+  std::vector<QueueSettings> removed_queues;
 
-  auto Fields() { return std::tie(config, jobs, open_runs, registered_workers); }
+  auto Fields() { return std::tie(config, jobs, open_runs, registered_workers, removed_queues); }
 };
 
 }  // namespace parsleyline::job
@@ -22,13 +23,14 @@
 namespace parsleyline::job {
 
 std::string CellState::TakeSnapshot() const {
-  CellStateSnapshot snapshot{config_, {}, {}, {}};
+  CellStateSnapshot snapshot{config_, {}, {}, {}, {}};
   snapshot.jobs.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_) snapshot.jobs.push_back(job);
   for (const auto& [key, run] : open_runs_) snapshot.open_runs.push_back(run);
   for (const auto& [id, report] : registered_workers_) {
     snapshot.registered_workers.push_back(report);
   }
+  for (const auto& [id, queue] : removed_queues_) snapshot.removed_queues.push_back(queue);
   return wire::Encode(snapshot);
 }
 
@@ -42,6 +44,8 @@
   pending_.clear();
   open_runs_.clear();
   registered_workers_.clear();
+  removed_queues_.clear();
+  for (QueueSettings& it : decoded->removed_queues) removed_queues_[it.id] = std::move(it);
   for (const WorkerReport& it : decoded->registered_workers) {
     registered_workers_[it.incarnation.worker] = it;
   }
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(Gang_TicketsForEnoughWorkers_StartsThere);
   CPPUNIT_TEST(Advice_LongCall_NamesFullWorkersToo);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
+  CPPUNIT_TEST(Job_QueueRemoved_LaterStepIsStarted);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
   CPPUNIT_TEST_SUITE_END();
 
@@ -334,6 +335,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
   }
 
+  // Guards against an accepted job whose later steps are never started, because its queue was
+  // removed from the configuration meanwhile.
+  void Job_QueueRemoved_LaterStepIsStarted() {
+    AddWorker("w1");
+    job::JobSpec spec = Spec(1, 1000);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().depends_on = {0};
+    Submit("j", spec);
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    job::CellConfig config = DefaultConfig();
+    config.version = job::ConfigVersion(2);
+    config.queues.erase(config.queues.begin());
+    PutConfig(config);
+    AnswerHold("w1", {}, {EndOf(outbox_->starts.back().run, RunEnd::kDone, 1)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    CPPUNIT_ASSERT_EQUAL(1U, outbox_->starts.back().run.task.step.step);
+  }
+
   void CompleteGang_OtherMembers_AreNotStopped() {
     AddWorker("w1", 2000);
     Submit("j", Spec(2, 1000, kGang));
--- a/tests/job/cell_state_test.cpp
+++ b/tests/job/cell_state_test.cpp
@@ -42,6 +42,9 @@
   CPPUNIT_TEST(OpenJobs_EndedJob_IsRemoved);
   CPPUNIT_TEST(Purge_RunningJob_IsKept);
   CPPUNIT_TEST(Snapshot_Restored_GivesSameBytes);
+  CPPUNIT_TEST(RemovedQueue_OpenJob_KeepsItsAttempts);
+  CPPUNIT_TEST(RemovedQueue_SnapshotRestored_IsKept);
+  CPPUNIT_TEST(RemovedQueue_NoOpenJob_IsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -55,6 +58,36 @@
     book_.Apply(batch);
   }
 
+  // Guards against a job that is reported as failed after the first failure of a task, because its
+  // queue was removed from the configuration.
+  void RemovedQueue_OpenJob_KeepsItsAttempts() {
+    Submit({Step(1)});
+    RemoveQueues(4);
+    Start(Task(0, 0), 1);
+    End(Task(0, 0), 1, RunEnd::kFailed);
+    CPPUNIT_ASSERT(JobPhase::kRunning == book_.Find(kJob)->phase);
+    Start(Task(0, 0), 2);
+    End(Task(0, 0), 2, RunEnd::kFailed);
+    CPPUNIT_ASSERT(JobPhase::kFailed == book_.Find(kJob)->phase);
+  }
+
+  void RemovedQueue_SnapshotRestored_IsKept() {
+    Submit({Step(1)});
+    RemoveQueues(4);
+    RemoveQueues(5);
+    CellState restored;
+    CPPUNIT_ASSERT(restored.Restore(book_.TakeSnapshot()));
+    CPPUNIT_ASSERT(restored.FindQueue(kQueue) != nullptr);
+    CPPUNIT_ASSERT_EQUAL(2U, restored.FindQueue(kQueue)->max_attempts);
+  }
+
+  void RemovedQueue_NoOpenJob_IsForgotten() {
+    RemoveQueues(4);
+    CPPUNIT_ASSERT(book_.FindQueue(kQueue) != nullptr);
+    RemoveQueues(5);
+    CPPUNIT_ASSERT(book_.FindQueue(kQueue) == nullptr);
+  }
+
   // Guards against a second job when a repeated submission of the same id arrives late.
   void Submit_Repeated_IsOneJob() {
     Submit({Step(1)});
@@ -263,6 +296,11 @@
     batch.ends.push_back({task, RunNumber(run), end, {}});
     book_.Apply(batch);
   }
+  void RemoveQueues(std::uint64_t version) {
+    CommandBatch batch;
+    batch.config.version = ConfigVersion(version);
+    book_.Apply(batch);
+  }
   void Cancel() {
     CommandBatch batch;
     batch.cancels.push_back({kJob});
