--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -37,6 +37,28 @@
 /// Returns the wall-clock time. Used for times that must stay valid after a change of leader.
 using UnixTimeSource = std::function<job::UnixMillis()>;
 
+/// Why a step with waiting tasks has not been started.
+enum class WaitReason : std::uint8_t {
+  /// It is not among the steps that are scheduled.
+  kNotQueued,
+  /// The configuration in force lacks the queue of its job.
+  kNoQueue,
+  /// A gang with a run that has not ended.
+  kOpenRun,
+  /// No worker can get tasks.
+  kNoWorker,
+  /// It fits into no selection of workers.
+  kNoCapacity,
+  /// It does not fit into the workers that the advisor has not rejected.
+  kNotApproved,
+  /// It would fit if the advisor approved workers that it has not decided about.
+  kUndecided,
+  /// It fits into approved workers, but usable tickets are missing.
+  kNoTicket,
+  /// It fits and should start in the next pass.
+  kFits,
+};
+
 /// Schedules the jobs of a cell while this process is the leader of the replicated log. Performs no
 /// I/O: its methods receive events, and it sends orders through the Outbox. Not thread-safe.
 ///
@@ -104,12 +126,17 @@
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
     std::uint64_t advice_calls = 0;
+    /// Steps that wait without a run although the cell has capacity, and workers whose holds are
+    /// not answered in time and have not failed, as of the last check.
+    std::size_t overdue_steps = 0;
+    std::size_t overdue_holds = 0;
   };
   Counts counts() const;
 
  private:
   struct WaitingStep;
   struct SchedulingPass;
+  struct AdvisorClient;
 
   // Workers and runs.
 
@@ -175,6 +202,8 @@
   std::vector<Candidate> FindCandidates(const WaitingStep& waiting, const SchedulingPass& pass,
                                         AdvisorFilter filter) const;
   void BeginPass(SchedulingPass* pass);
+  /// Ends calls that take too long, and collects the clients that can take a call.
+  void FindIdleClients(SchedulingPass* pass);
   void ReserveCapacity(WaitingStep* waiting, const std::vector<Candidate>& approved,
                        SchedulingPass* pass);
   void ReserveAndRequestTickets(WaitingStep* waiting, const std::vector<WorkerId>& chosen,
@@ -187,6 +216,9 @@
   Duration ExpectedGangWait(const WaitingStep& waiting, const SchedulingPass& pass) const;
   void QueryUndecidedWorkers(WaitingStep* waiting, SchedulingPass* pass);
   void QueryAdvisor(WaitingStep* waiting, std::vector<const Worker*> workers, SchedulingPass* pass);
+  /// Removes a call that was answered or given up from its step, and updates the failure history
+  /// of its client.
+  void EndAdvisorCall(AdvisorClient* client, bool decided);
   void QueryWorkersWithCapacity(WaitingStep* waiting, std::uint32_t tasks, SchedulingPass* pass);
   std::vector<std::uint32_t> FindWaitingTasks(const WaitingStep& waiting) const;
   std::map<WorkerId, std::uint32_t> CountRunsByWorker(const job::StepKey& step) const;
@@ -194,6 +226,12 @@
   void StartTask(WaitingStep* waiting, const job::RunKey& key, const std::string& checkpoint,
                  Worker* worker, SchedulingPass* pass);
   void RemoveEndedJobs();
+  /// Logs the steps that wait without a run although the cell has capacity, each with the reason,
+  /// and the workers that get no holds.
+  void ReportOverdueWork();
+  void ReportIfOverdue(const job::Job& job, const job::StepKey& key, const SchedulingPass& pass);
+  WaitReason DiagnoseWait(const WaitingStep& waiting, const job::StepSpec& step,
+                          const SchedulingPass& pass) const;
   void ProposeBatch();
   void CallWhenDurable(CommitCallback done);
 
@@ -209,15 +247,26 @@
   WorkerRoster roster_;
   std::map<job::RunKey, WorkerId> worker_by_run_;
   std::map<job::StepKey, std::unique_ptr<WaitingStep>> waiting_steps_;
+  /// A call to the advisor that has not been answered.
+  struct AdvisorCall {
+    AdvisorCallNumber number;
+    job::StepKey step;
+    TimePoint sent_at;
+    std::vector<QueriedWorker> queried_workers;
+  };
   /// A process that can call the advisor.
   struct AdvisorClient {
     TimePoint last_seen;
-    /// Step of the call in flight, if any.
-    std::optional<job::StepKey> step_in_flight;
-    TimePoint query_sent_at;
-    std::vector<QueriedWorker> queried_workers;
+    std::optional<AdvisorCall> call;
+    /// Number of the last call, which tells how long ago the client was used.
+    AdvisorCallNumber last_call;
+    /// Calls without a decision since the last decision. The client gets no call before `retry_at`
+    /// while others are idle.
+    std::uint32_t failed_calls = 0;
+    TimePoint retry_at;
   };
   std::map<NodeId, AdvisorClient> advisor_clients_;
+  AdvisorCallNumber next_call_number_{1};
   std::map<job::JobId, std::vector<SubmitCallback>> pending_submits_;
   /// Task durations by queue. Not replicated; each leader learns them again.
   std::map<job::QueueId, DurationModel> duration_models_;
@@ -228,6 +277,7 @@
   std::set<job::JobId> timed_jobs_;
   TimePoint next_worker_check_;
   TimePoint next_migration_check_;
+  TimePoint next_diagnosis_;
   TimePoint last_tick_;
   /// True after this process was suspended, until it has confirmed that it is still the leader.
   bool is_confirming_leadership_ = false;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 #include "base/event_log.h"
@@ -28,6 +29,9 @@
 // A call without a reply after this time is given up, and the client is used again.
 constexpr Milliseconds kAdvisorCallTimeout{5000};
 constexpr Milliseconds kQueryRetryInterval{200};
+// A client whose call failed is not used for this time, which doubles with each further failure.
+constexpr Milliseconds kFirstClientBackoff{500};
+constexpr std::uint32_t kMaxClientBackoffDoublings = 3;
 // Interval at which a step that does not fit is considered again. Free capacity changes within tens
 // of milliseconds, so that a shorter interval would waste passes.
 constexpr Milliseconds kNoCapacityRetryInterval{30};
@@ -64,7 +68,7 @@
 void Coordinator::UpdateWaitingSteps(const job::JobId& id) {
   const job::Job* job = cell_state_.Find(id);
   const job::QueueSettings* queue =
-      job == nullptr || job->HasEnded() ? nullptr : cell_state_.config().Find(job->queue);
+      job == nullptr || job->HasEnded() ? nullptr : cell_state_.FindQueue(job->queue);
   if (queue == nullptr) {
     timed_jobs_.erase(id);
     auto it = waiting_steps_.lower_bound({id, 0, 0});
@@ -89,6 +93,7 @@
   if (waiting != nullptr) return;
   waiting = std::make_unique<WaitingStep>();
   waiting->key = key;
+  waiting->queued_at = clock_.Now();
   waiting->queue = queue.id;
   waiting->priority = queue.priority;
   const job::UnixMillis ready_at =
@@ -118,7 +123,7 @@
   for (const job::JobId& id : cell_state_.open_jobs()) {
     const job::Job& job = *cell_state_.Find(id);
     if (job.spec.IsTimed()) continue;
-    const job::QueueSettings* queue = cell_state_.config().Find(job.queue);
+    const job::QueueSettings* queue = cell_state_.FindQueue(job.queue);
     if (queue == nullptr) continue;
     const Duration age = Milliseconds(unix_now.value() - job.accepted_at.value());
     const DurationModel& durations = duration_models_[job.queue];
@@ -139,7 +144,6 @@
 
 void Coordinator::BeginPass(SchedulingPass* pass) {
   pass->now = clock_.Now();
-  pass->config = &cell_state_.config();
   pass->capacity_by_slot.resize(roster_.SlotCount());
   for (auto& [id, worker] : roster_.workers()) {
     if (!worker.IsSchedulable(pass->now)) continue;
@@ -153,17 +157,47 @@
       pass->capacity_by_slot[it].reserved_for = waiting.get();
     }
   }
+  FindIdleClients(pass);
+}
+
+// A client that registers may still fail its calls, for example if its own connection to the
+// advisor is broken. The step of such a call waits for the time-out, so that the client is avoided
+// after it. Otherwise the client that was idle for the longest time gets the next call.
+void Coordinator::FindIdleClients(SchedulingPass* pass) {
+  std::vector<std::pair<NodeId, const AdvisorClient*>> idle;
   for (auto& [id, client] : advisor_clients_) {
-    if (client.step_in_flight && pass->now - client.query_sent_at > kAdvisorCallTimeout) {
-      if (const auto it = waiting_steps_.find(*client.step_in_flight); it != waiting_steps_.end()) {
-        --it->second->calls_in_flight;
-      }
-      client.step_in_flight.reset();
+    if (client.call && pass->now - client.call->sent_at > kAdvisorCallTimeout) {
+      EndAdvisorCall(&client, false);
     }
-    if (!client.step_in_flight && pass->now - client.last_seen < kAdvisorCallTimeout) {
-      pass->idle_clients.push_back(id);
+    if (!client.call && pass->now - client.last_seen < kAdvisorCallTimeout) {
+      idle.emplace_back(id, &client);
     }
   }
+  const bool any_usable = std::any_of(idle.begin(), idle.end(), [pass](const auto& it) {
+    return it.second->retry_at <= pass->now;
+  });
+  if (any_usable) {
+    std::erase_if(idle, [pass](const auto& it) { return it.second->retry_at > pass->now; });
+  }
+  const auto rank = [](const auto& it) {
+    return std::tuple(it.second->failed_calls, it.second->last_call, it.first);
+  };
+  std::sort(idle.begin(), idle.end(),
+            [&rank](const auto& a, const auto& b) { return rank(a) > rank(b); });
+  for (const auto& [id, client] : idle) pass->idle_clients.push_back(id);
+}
+
+void Coordinator::EndAdvisorCall(AdvisorClient* client, bool decided) {
+  const AdvisorCall call = *std::exchange(client->call, std::nullopt);
+  const auto it = waiting_steps_.find(call.step);
+  if (it != waiting_steps_.end()) it->second->calls_in_flight.erase(call.number);
+  if (decided) {
+    client->failed_calls = 0;
+    client->retry_at = TimePoint();
+    return;
+  }
+  const std::uint32_t doublings = std::min(client->failed_calls++, kMaxClientBackoffDoublings);
+  client->retry_at = clock_.Now() + kFirstClientBackoff * (1U << doublings);
 }
 
 void Coordinator::ScheduleWaitingSteps() {
@@ -175,7 +209,7 @@
   order.reserve(waiting_steps_.size());
   for (const auto& [key, waiting] : waiting_steps_) {
     const job::Job* job = cell_state_.Find(key.job);
-    const job::QueueSettings* queue = pass.config->Find(waiting->queue);
+    const job::QueueSettings* queue = cell_state_.FindQueue(waiting->queue);
     if (job == nullptr || queue == nullptr) continue;
     if (pass.now >= waiting->next_estimate) {
       waiting->next_estimate = pass.now + kEstimateInterval;
@@ -238,7 +272,7 @@
                                                    const SchedulingPass& pass,
                                                    AdvisorFilter filter) const {
   const job::StepSpec& step = cell_state_.Find(waiting.key.job)->spec.steps[waiting.key.step];
-  const job::QueueSettings& queue = *pass.config->Find(waiting.queue);
+  const job::QueueSettings& queue = *cell_state_.FindQueue(waiting.queue);
   const auto running = step.max_per_worker > 0 ? CountRunsByWorker(waiting.key)
                                                : std::map<WorkerId, std::uint32_t>();
   const bool needs_ticket = queue.needs_ticket != 0;
@@ -293,13 +327,13 @@
   if (chosen.empty() && !has_low_slack) {
     waiting->next_attempt = pass->now + kNoCapacityRetryInterval;
   }
-  if (pass->config->Find(waiting->queue)->needs_ticket == 0) return;
+  if (cell_state_.FindQueue(waiting->queue)->needs_ticket == 0) return;
   QueryWorkersWithCapacity(waiting, static_cast<std::uint32_t>(tasks.size() - chosen.size()), pass);
 }
 
 void Coordinator::QueryWorkersWithCapacity(WaitingStep* waiting, std::uint32_t tasks,
                                            SchedulingPass* pass) {
-  if (waiting->calls_in_flight > 0 || pass->now < waiting->next_query ||
+  if (!waiting->calls_in_flight.empty() || pass->now < waiting->next_query ||
       pass->idle_clients.empty()) {
     return;
   }
@@ -323,7 +357,7 @@
                      if (is_approved(a) != is_approved(b)) return is_approved(a);
                      return a.free.cpu > b.free.cpu;
                    });
-  const std::size_t min_named = MinNamedWorkers(pass->config->Find(waiting->queue)->advisor);
+  const std::size_t min_named = MinNamedWorkers(cell_state_.FindQueue(waiting->queue)->advisor);
   std::vector<const Worker*> named_workers;
   std::size_t expected_permille = 0;
   for (const Candidate& it : candidates) {
@@ -341,7 +375,7 @@
                                SchedulingPass* pass) {
   if (pass->now < waiting->next_query || workers.empty()) return;
   if (workers.size() > kMaxWorkersPerCall) workers.resize(kMaxWorkersPerCall);
-  const job::QueueSettings& queue = *pass->config->Find(waiting->queue);
+  const job::QueueSettings& queue = *cell_state_.FindQueue(waiting->queue);
   const Duration call_duration =
       AdvisorCallDuration(queue.advisor, static_cast<std::int64_t>(workers.size()));
   const std::size_t reserved_clients =
@@ -349,32 +383,35 @@
   if (pass->idle_clients.size() <= reserved_clients) return;
   const NodeId client_id = pass->idle_clients.back();
   pass->idle_clients.pop_back();
-  AdvisorQuery query{waiting->key, {}};
-  AdvisorClient& client = advisor_clients_[client_id];
-  client.step_in_flight = waiting->key;
-  client.query_sent_at = pass->now;
-  client.queried_workers.clear();
+  AdvisorQuery query{waiting->key, {}, next_call_number_};
+  next_call_number_ = AdvisorCallNumber(next_call_number_.value() + 1);
+  AdvisorCall call{query.number, waiting->key, pass->now, {}};
   for (const Worker* it : workers) {
     query.workers.push_back(it->id());
-    client.queried_workers.push_back({it->id(), it->slot});
+    call.queried_workers.push_back({it->id(), it->slot});
   }
-  ++waiting->calls_in_flight;
+  AdvisorClient& client = advisor_clients_[client_id];
+  client.last_call = query.number;
+  client.call = std::move(call);
+  waiting->calls_in_flight.insert(query.number);
   ++counts_.advice_calls;
   outbox_.QueryAdvisor(client_id, query);
 }
 
 void Coordinator::OnAdvisorReply(const NodeId& client_id, const AdvisorQuery& query,
                                  const AdvisorReply& reply) {
-  AdvisorClient& client = advisor_clients_[client_id];
-  const bool expected = client.step_in_flight && *client.step_in_flight == query.step;
-  if (!expected) return;
-  client.step_in_flight.reset();
-  const auto it = waiting_steps_.find(query.step);
+  const auto client = advisor_clients_.find(client_id);
+  if (client == advisor_clients_.end() || !client->second.call) return;
+  // The reply may answer a call of an earlier leadership, or one that was given up. Another call
+  // about the same step, which names other workers, may be in flight.
+  if (client->second.call->number != query.number) return;
+  const AdvisorCall call = *client->second.call;
+  EndAdvisorCall(&client->second, reply.answered != 0);
+  const auto it = waiting_steps_.find(call.step);
   if (!is_leader_ || it == waiting_steps_.end()) return;
   WaitingStep& waiting = *it->second;
-  --waiting.calls_in_flight;
   waiting.next_attempt = TimePoint();
-  waiting.decisions.RecordReply(client.queried_workers, reply, clock_.Now());
+  waiting.decisions.RecordReply(call.queried_workers, reply, clock_.Now());
   if (reply.answered == 0) waiting.next_query = clock_.Now() + kQueryRetryInterval;
   Event("advice")
       .With("step", query.step)
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "dispatch/coordinator.h"
@@ -14,9 +15,11 @@
   std::uint32_t priority = 0;
   /// When the job was accepted, or when the occurrence was due.
   TimePoint accepted_at;
+  /// When its tasks began to wait.
+  TimePoint queued_at;
   AdvisorDecisions decisions;
   /// Advisor calls in flight.
-  std::int32_t calls_in_flight = 0;
+  std::set<AdvisorCallNumber> calls_in_flight;
   TimePoint next_query;
   TimePoint next_undecided_query;
   /// Latency objective and remaining critical path of the job, and when they are computed again.
@@ -36,7 +39,6 @@
 /// State of one scheduling pass.
 struct Coordinator::SchedulingPass {
   TimePoint now;
-  const job::CellConfig* config = nullptr;
   /// A worker with the capacity that is still free in this pass. `worker` is null for a slot whose
   /// worker is gone or not schedulable.
   struct WorkerCapacity {
@@ -60,6 +62,7 @@
   /// gang in the order of the pass.
   bool gang_is_waiting = false;
   std::uint32_t waiting_gang_priority = 0;
+  /// Processes that can call the advisor now, the preferred one last.
   std::vector<NodeId> idle_clients;
 };
 
