Draw the arguments of an election in the scheduler simulation one by one

Simulation::Step() passed three random draws as arguments of one call.

The draws now happen in the order in which they are written.

--- a/tests/scheduler/simulation.cpp
+++ b/tests/scheduler/simulation.cpp
@@ -211,7 +211,12 @@
   if (Chance(25)) return StartRequest();
   if (Chance(4)) return CancelRandomRequest();
   if (Chance(3)) return InjectWorkerFault();
-  if (Chance(2)) return log_.Elect(Random(SimLog::kReplicas), Random(4), Chance(50));
+  if (Chance(2)) {
+    // The order in which the arguments of a call are evaluated is unspecified.
+    const std::size_t replica = Random(SimLog::kReplicas);
+    const std::size_t kept = Random(4);
+    return log_.Elect(replica, kept, Chance(50));
+  }
   if (Chance(10)) log_.Heal();
 }
 
