Let the scheduler simulation wait for the leases of abandoned tasks

- 377 steps: the entry daemon of a batch task crashes 6 ms before the faults end, with its dispatch in flight.
The dispatch arrives 5.8 s later and the task runs for 14.6 s.
Nothing reports its end, so its lease of 10 s and the margin of 0.5 s run out first, and the worker has to confirm the stop with its second announcement.
The check came 30.0 s after the faults, the lease ended 31.5 s after them.
- 433 steps: the first submission of a gang arrives 4.8 s late, and its remaining time counts from the arrival.
The entry daemon gives up 0.6 s before the scheduler grants the gang, so nothing dispatches or reports the tasks.
Their leases ended 32.9 s after the faults.

No lease was found that stays for good; the fixed 30 s of Quiesce() were shorter than the longest legal chain of events.

Quiesce() makes the same checks at the same time as before, but treats the tasks that no entry daemon will report apart: each of them must be released within its lease, the margin and one acknowledged stop, counted from its own end or grant. Any other running task fails at once, and all leases and charges must be gone at the end. So the check got no weaker for other tasks, and has a bound for each abandoned one, which it did not have.

Both cases are now tests.

--- a/tests/scheduler/scheduler_fuzz_test.cpp
+++ b/tests/scheduler/scheduler_fuzz_test.cpp
@@ -10,6 +10,8 @@
 
 class SchedulerFuzzTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SchedulerFuzzTest);
+  CPPUNIT_TEST(Quiesce_EntryCrashedBeforeLateDispatch_LeaseEnds);
+  CPPUNIT_TEST(Quiesce_GrantedAfterEntryGaveUp_LeaseEnds);
   CPPUNIT_TEST(Domain_FaultsOfEveryKind_KeepsGuarantees);
   CPPUNIT_TEST_SUITE_END();
 
@@ -17,6 +19,14 @@
   void setUp() override { SetMinimumSeverity(Severity::kError); }
   void tearDown() override { SetMinimumSeverity(Severity::kInfo); }
 
+  // Guards against "leases stay" in the fuzz test below while the lease of a task still lasts: the
+  // entry daemon crashed and the dispatch arrived late.
+  void Quiesce_EntryCrashedBeforeLateDispatch_LeaseEnds() { Simulation(4261408759).Run(377); }
+
+  // Guards against the same failure if the scheduler granted a request after the entry daemon had
+  // given up, because the first submission arrived late.
+  void Quiesce_GrantedAfterEntryGaveUp_LeaseEnds() { Simulation(4261408759).Run(433); }
+
   // Guards against workers charged beyond their capacity, requests that run twice, on two workers
   // or after they were reported as rejected, charges that are never released, and replicas whose
   // state differs. Random requests run while messages are lost or delayed, workers crash, and
--- a/tests/scheduler/sim_flow.cpp
+++ b/tests/scheduler/sim_flow.cpp
@@ -29,7 +29,8 @@
   sim_->Send([self, call, submit] {
     self->sim_->PickReplica().Submit(submit, [self, call](Result<wire::RequestStatus> reply) {
       self->sim_->Send([self, call, reply] {
-        if (call == self->call_number_) self->OnSubmitted(reply);
+        if (call == self->call_number_) return self->OnSubmitted(reply);
+        if (self->gave_up_ && reply) self->Abandon(*reply);
       });
     });
   });
@@ -47,6 +48,7 @@
       auto self = shared_from_this();
       return sim_->After(Milliseconds(20), [self] { self->Submit(); });
     }
+    gave_up_ = true;
     // The flow dispatches only grants that it has received, so the request cannot run unless
     // another flow with the same key dispatches it.
     wire::RequestStatus status;
@@ -76,7 +78,17 @@
   }
   // Simulates a crash of the entry daemon: its dispatches are still in flight, and nothing fences
   // the tasks or reports their end.
-  if (sim_->faults_ && sim_->Chance(10)) ++grant_round_;
+  if (!sim_->faults_ || !sim_->Chance(10)) return;
+  ++grant_round_;
+  Abandon(status);
+}
+
+// Marks the tasks of a grant to this flow, because the flow will not report their ends.
+void SimFlow::Abandon(const wire::RequestStatus& status) {
+  if (status.state != RequestState::kRunning || status.dispatcher != submit_.entry) return;
+  for (const wire::TaskGrant& grant : status.grants) {
+    sim_->abandoned_tasks_.emplace(grant.token, sim_->clock_.Now());
+  }
 }
 
 void SimFlow::Dispatch(std::size_t index) {
--- a/tests/scheduler/sim_flow.h
+++ b/tests/scheduler/sim_flow.h
@@ -27,6 +27,7 @@
   bool Expired() const { return sim_->clock_.Now() >= deadline_; }
   void OnSubmitted(const Result<wire::RequestStatus>& reply);
   void StartTasks(const wire::RequestStatus& status);
+  void Abandon(const wire::RequestStatus& status);
   void Dispatch(std::size_t index);
   void QueryTask(std::size_t index, bool fence);
   void OnTaskState(std::size_t index, SimWorker::TaskState state, Incarnation incarnation,
@@ -50,6 +51,8 @@
   std::size_t unreported_tasks_ = 0;
   wire::RequestStatus last_status_;
   std::set<FencingToken> dispatched_;
+  /// Whether the deadline passed without a reply. The scheduler may still grant the request.
+  bool gave_up_ = false;
   bool replied_ = false;
 };
 
--- a/tests/scheduler/simulation.cpp
+++ b/tests/scheduler/simulation.cpp
@@ -21,6 +21,11 @@
 constexpr Resources kCapacity{MilliCpu(4000), Mebibytes(4096), Accelerators(2), Slots(3)};
 constexpr std::uint64_t kMaxSilence = 5000;
 constexpr int kQuiesceRounds = 40000;
+constexpr Milliseconds kMaxDelay{40};
+// Longest time from the expiry of a lease until its release is committed, without faults: the
+// worker gets the order to stop with the reply to one announcement and confirms it with the next.
+constexpr Milliseconds kStopAcknowledgement =
+    2 * (kAnnounceInterval + kStep) + 3 * (kMaxDelay + kStep);
 
 }  // namespace
 
@@ -76,6 +81,8 @@
     };
     worker->on_end = [this](const SimWorker& at, const SimDispatch& dispatch, wire::TaskOutcome) {
       oracle_.OnEnd(at, dispatch);
+      const auto it = abandoned_tasks_.find(dispatch.grant.token);
+      if (it != abandoned_tasks_.end()) it->second = clock_.Now();
     };
     workers_.push_back(std::move(worker));
     After(Milliseconds(Random(500)), [this, i] { Announce(workers_[i].get()); });
@@ -92,7 +99,7 @@
 void Simulation::Send(std::function<void()> deliver) {
   if (faults_ && Chance(8)) return;
   const bool late = faults_ && Chance(6);
-  After(Milliseconds(late ? Random(6000) : Random(40)), std::move(deliver));
+  After(Milliseconds(late ? Random(6000) : Random(kMaxDelay.count())), std::move(deliver));
 }
 
 DomainScheduler& Simulation::PickReplica() {
@@ -226,8 +233,12 @@
   CheckReplicas();
 }
 
-// Runs without faults until all flows have ended. Then no request may be queued and no task
-// charged.
+void Simulation::CommitAll() {
+  while (!log_.AllCommitted()) log_.CommitOne();
+}
+
+// Runs without faults until all flows have ended and the leases of abandoned tasks have too. Then
+// no request may be queued and no task charged.
 void Simulation::Quiesce() {
   faults_ = false;
   log_.Heal();
@@ -241,7 +252,9 @@
     if (i > kQuiesceRounds) throw Violation("flows do not end: " + std::to_string(open_flows_));
     Advance(kStep);
   }
-  while (!log_.AllCommitted()) log_.CommitOne();
+  CommitAll();
+  while (HasAbandonedTasks()) Advance(kStep);
+  CommitAll();
   const wire::SchedulerStatus status = replicas_[log_.leader()]->Status();
   if (status.queued != 0) throw Violation("requests stay queued");
   if (status.running != 0) throw Violation("leases stay: " + std::to_string(status.running));
@@ -251,6 +264,29 @@
   }
 }
 
+// Returns whether the ledger has running tasks. Only abandoned tasks may run, and only as long as
+// their leases may last.
+bool Simulation::HasAbandonedTasks() {
+  DomainState state;
+  if (!state.Restore(replicas_[log_.leader()]->TakeSnapshot(), clock_.Now())) {
+    throw Violation("bad snapshot");
+  }
+  const SchedulerOptions options;
+  bool found = false;
+  for (const ledger::LedgerEntry* entry : state.ledger().Running()) {
+    const Milliseconds lease = options.LeaseOf(entry->spec.kind) + options.clock_margin;
+    for (const ledger::TaskEntry& task : entry->tasks) {
+      if (task.state != ledger::TaskState::kRunning) continue;
+      const auto it = abandoned_tasks_.find(task.token);
+      if (it == abandoned_tasks_.end()) throw Violation("task stays: " + entry->id.value());
+      const TimePoint release = it->second + kMaxDelay + kStep + lease + kStopAcknowledgement;
+      if (clock_.Now() > release) throw Violation("lease stays: " + entry->id.value());
+      found = true;
+    }
+  }
+  return found;
+}
+
 // Checks that the snapshot of each replica holds the same state as a replay of the log.
 void Simulation::CheckReplicas() {
   DomainState replay;
--- a/tests/scheduler/simulation.h
+++ b/tests/scheduler/simulation.h
@@ -78,7 +78,9 @@
   void CancelRandomRequest();
   void InjectWorkerFault();
   void CheckReplicas();
+  void CommitAll();
   void Quiesce();
+  bool HasAbandonedTasks();
 
   std::mt19937_64 random_;
   ManualClock clock_;
@@ -89,6 +91,9 @@
   std::multimap<TimePoint, std::function<void()>> events_;
   std::vector<wire::Submit> submitted_;
   std::size_t open_flows_ = 0;
+  /// Tasks whose entry daemon crashed or gave up before their grant, with the time of that or, if
+  /// later, of the task's end. Nothing reports these ends, so only the leases release the charges.
+  std::map<FencingToken, TimePoint> abandoned_tasks_;
   std::uint64_t next_flow_ = 0;
   Oracle oracle_;
 };
