Make workers refuse lost tasks when they are heard again

A worker accepts a task as long as its last answered announcement is younger than the lease. The scheduler ends the lease of a task on a silent worker by time alone, because such a worker starts nothing more. But a dispatch can stay in flight for longer than the silence. In the trace the worker is silent for 5.1 s, its service task is lost, and it is heard again; two other tasks get the capacity, and 0.2 s later the old dispatch arrives and the worker starts it. The caller of an idempotent request could also see it run in two places.

The registration of a worker now keeps its lost tasks in the replicated state, so a new leader knows them as well. Every reply to an announcement tells the worker to refuse them until it has confirmed a reply with a later announcement, which a ConfirmStops record notes. A silent worker starts nothing until it has acted on a reply, and that reply already names the lost tasks. A new incarnation clears them.

Worker_HeardAfterTaskWasLost_MustRefuseTask and Worker_LateDispatchAfterSilence_KeepsCapacity fail without the change (no stop in the reply; "w3 exceeds its capacity") and pass with it.

--- a/src/scheduler/domain_leader.h
+++ b/src/scheduler/domain_leader.h
@@ -116,6 +116,8 @@
                           TimePoint now);
   void ChargeUnknownTasks(const wire::Announcement& announcement,
                           const std::vector<FencingToken>& unknown);
+  void StopLostTasks(const RegisteredWorker& worker, const wire::Announcement& announcement,
+                     wire::AnnounceResult* result);
   void ProposeTaskLost(FencingToken token, const char* reason);
   void ExpireQueuedRequests(TimePoint now);
   void ExpireWorkersAndLeases(TimePoint now);
@@ -128,6 +130,7 @@
   void HandleApplied(const SetOperatorState& record);
   void HandleApplied(const RemoveWorker& record);
   void HandleApplied(const wire::FinishTask& record);
+  void HandleApplied(const ConfirmStops& record);
   void HandleApplied(const ledger::Rejection& record);
 
   const SchedulerOptions& options_;
@@ -153,6 +156,8 @@
   /// Tasks that workers report but the ledger does not have. They are charged until the worker no
   /// longer reports them.
   std::unordered_map<WorkerId, std::unordered_set<FencingToken>> unknown_tasks_;
+  /// Number of the first reply that told a worker to refuse a lost task.
+  std::unordered_map<WorkerId, std::unordered_map<FencingToken, std::uint64_t>> lost_task_stops_;
   /// Running tasks whose loss was proposed and is not committed yet.
   std::unordered_set<FencingToken> proposed_lost_tasks_;
   /// When each ledger record with long retention became trimmable, oldest first. Records of earlier
--- a/src/scheduler/domain_leader_workers.cpp
+++ b/src/scheduler/domain_leader_workers.cpp
@@ -91,6 +91,7 @@
   result->stop = std::move(update.stop);
   result->response_number = update.reply_number;
   ChargeUnknownTasks(announcement, update.unknown);
+  StopLostTasks(*known, announcement, result);
   for (const FencingToken token : update.ended) ProposeTaskLost(token, "not_reported");
 }
 
@@ -121,6 +122,35 @@
   if (charged.empty()) unknown_tasks_.erase(announcement.worker);
 }
 
+// Tells a worker to refuse its lost tasks until it confirms that. The lease of a task can end while
+// the worker is silent, and its dispatch can reach the worker after the end of the silence.
+void DomainLeader::StopLostTasks(const RegisteredWorker& worker,
+                                 const wire::Announcement& announcement,
+                                 wire::AnnounceResult* result) {
+  if (worker.lost_tasks.empty()) return;
+  const std::vector<FencingToken> running = RunningTokens(announcement);
+  auto& stops = lost_task_stops_[announcement.worker];
+  ConfirmStops confirmed{announcement.worker, {}};
+  for (const FencingToken token : worker.lost_tasks) {
+    // The reply already contains the unknown tasks that the worker reports.
+    if (std::find(running.begin(), running.end(), token) != running.end()) continue;
+    const auto [it, first] = stops.try_emplace(token, result->response_number);
+    if (!first && announcement.acknowledged_response >= it->second) {
+      confirmed.tokens.push_back(token);
+    } else {
+      result->stop.push_back(token);
+    }
+  }
+  if (!confirmed.tokens.empty()) outbox_->Propose(std::move(confirmed));
+}
+
+void DomainLeader::HandleApplied(const ConfirmStops& record) {
+  const auto it = lost_task_stops_.find(record.worker);
+  if (it == lost_task_stops_.end()) return;
+  for (const FencingToken token : record.tokens) it->second.erase(token);
+  if (it->second.empty()) lost_task_stops_.erase(it);
+}
+
 void DomainLeader::ProposeTaskLost(FencingToken token, const char* reason) {
   const ledger::LedgerEntry* entry = state_->ledger().FindByToken(token);
   if (entry == nullptr || !proposed_lost_tasks_.insert(token).second) return;
@@ -171,6 +201,7 @@
 
 void DomainLeader::HandleApplied(const RegisterWorker& record) {
   proposed_registrations_.erase(record.worker);
+  lost_task_stops_.erase(record.worker);
   const RegisteredWorker* worker = state_->workers().Find(record.worker);
   if (worker == nullptr) return;
   AddWorker(*worker);
@@ -185,6 +216,7 @@
 void DomainLeader::HandleApplied(const RemoveWorker& record) {
   placement_.RemoveWorker(record.worker);
   unknown_tasks_.erase(record.worker);
+  lost_task_stops_.erase(record.worker);
   UpdateFleetCapacity();
 }
 
--- a/src/scheduler/domain_state.cpp
+++ b/src/scheduler/domain_state.cpp
@@ -94,9 +94,17 @@
   return {.accepted = true, .ended = {}};
 }
 
+ApplyResult DomainState::ApplyRecord(LogIndex, const ConfirmStops& record, TimePoint) {
+  workers_.RemoveLostTasks(record.worker, record.tokens);
+  return {.accepted = true, .ended = {}};
+}
+
 void DomainState::EndTask(const wire::FinishTask& finish, ApplyResult* applied) {
   const ledger::TaskEntry* task = ledger_.ApplyFinish(finish);
   if (task == nullptr) return;
+  if (finish.outcome == wire::TaskOutcome::kLost) {
+    workers_.AddLostTask(task->worker, task->incarnation, task->token);
+  }
   const ledger::LedgerEntry* entry = ledger_.Find(finish.id);
   applied->ended.push_back({entry->id, entry->spec, *task, finish.run_time});
 }
--- a/src/scheduler/domain_state.h
+++ b/src/scheduler/domain_state.h
@@ -53,6 +53,7 @@
   ApplyResult ApplyRecord(LogIndex index, const ledger::Rejection& record, TimePoint now);
   ApplyResult ApplyRecord(LogIndex index, const TrimLedger& record, TimePoint now);
   ApplyResult ApplyRecord(LogIndex index, const StartTerm& record, TimePoint now);
+  ApplyResult ApplyRecord(LogIndex index, const ConfirmStops& record, TimePoint now);
   void EndTask(const wire::FinishTask& finish, ApplyResult* applied);
 
   /// Term of the last applied StartTerm record.
--- a/src/scheduler/records.cpp
+++ b/src/scheduler/records.cpp
@@ -11,6 +11,7 @@
 PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::scheduler::GrantTasks);
 PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::scheduler::TrimLedger);
 PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::scheduler::StartTerm);
+PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::scheduler::ConfirmStops);
 PARSLEYLINE_INSTANTIATE_CODEC(parsleyline::ledger::Rejection);
 
 namespace parsleyline::scheduler {
--- a/src/scheduler/records.h
+++ b/src/scheduler/records.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <tuple>
 #include <variant>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/result_code.h"
@@ -69,10 +70,19 @@
   auto Fields() { return std::tie(short_records, long_records); }
 };
 
+/// A worker has confirmed that it will not start these lost tasks.
+struct ConfirmStops {
+  WorkerId worker;
+  std::vector<FencingToken> tokens;
+
+  auto Fields() { return std::tie(worker, tokens); }
+};
+
 /// One command in the replicated log of a failure domain. The position of each type in the list is
 /// stored, so new types go to the end.
-using Record = std::variant<RegisterWorker, SetOperatorState, RemoveWorker, GrantTasks,
-                            wire::FinishTask, ledger::Rejection, TrimLedger, StartTerm>;
+using Record =
+    std::variant<RegisterWorker, SetOperatorState, RemoveWorker, GrantTasks, wire::FinishTask,
+                 ledger::Rejection, TrimLedger, StartTerm, ConfirmStops>;
 
 /// Encodes a record as one byte for its position in Record, followed by its encoded fields.
 std::string EncodeRecord(const Record& record);
--- a/src/scheduler/worker_registry.cpp
+++ b/src/scheduler/worker_registry.cpp
@@ -12,8 +12,9 @@
 struct WorkerSnapshotRow {
   RegisterWorker registration;
   wire::WorkerState operator_state = wire::WorkerState::kReady;
+  std::vector<FencingToken> lost_tasks;
 
-  auto Fields() { return std::tie(registration, operator_state); }
+  auto Fields() { return std::tie(registration, operator_state, lost_tasks); }
 };
 
 /// Serialized form of a WorkerRegistry.
@@ -39,6 +40,7 @@
 Incarnation WorkerRegistry::Register(const RegisterWorker& registration, TimePoint now) {
   RegisteredWorker& worker = workers_[registration.worker];
   const Incarnation previous = worker.registration.incarnation;
+  if (previous != registration.incarnation) worker.lost_tasks.clear();
   worker.registration = registration;
   worker.last_announced = now;
   worker.silent = false;
@@ -52,6 +54,20 @@
 
 void WorkerRegistry::Remove(const WorkerId& worker) { workers_.erase(worker); }
 
+void WorkerRegistry::AddLostTask(const WorkerId& worker, Incarnation incarnation,
+                                 FencingToken token) {
+  const auto it = workers_.find(worker);
+  if (it == workers_.end() || it->second.registration.incarnation != incarnation) return;
+  it->second.lost_tasks.insert(token);
+}
+
+void WorkerRegistry::RemoveLostTasks(const WorkerId& worker,
+                                     const std::vector<FencingToken>& tokens) {
+  const auto it = workers_.find(worker);
+  if (it == workers_.end()) return;
+  for (const FencingToken token : tokens) it->second.lost_tasks.erase(token);
+}
+
 const RegisteredWorker* WorkerRegistry::Find(const WorkerId& worker) const {
   const auto it = workers_.find(worker);
   return it != workers_.end() ? &it->second : nullptr;
@@ -92,7 +108,9 @@
 std::string WorkerRegistry::TakeSnapshot() const {
   WorkerSnapshot snapshot;
   for (const auto& [id, worker] : workers_) {
-    snapshot.rows.push_back({worker.registration, worker.operator_state});
+    snapshot.rows.push_back({worker.registration,
+                             worker.operator_state,
+                             {worker.lost_tasks.begin(), worker.lost_tasks.end()}});
   }
   return wire::Encode(snapshot);
 }
@@ -104,6 +122,9 @@
   for (const WorkerSnapshotRow& row : snapshot->rows) {
     Register(row.registration, now);
     SetOperatorState(row.registration.worker, row.operator_state);
+    for (const FencingToken token : row.lost_tasks) {
+      AddLostTask(row.registration.worker, row.registration.incarnation, token);
+    }
   }
   return {};
 }
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,10 +13,13 @@
 
 namespace parsleyline::scheduler {
 
-/// A registered worker. The registration and the operator's state are replicated.
+/// A registered worker. The registration, the operator's state and the lost tasks are replicated.
 struct RegisteredWorker {
   RegisterWorker registration;
   wire::WorkerState operator_state = wire::WorkerState::kReady;
+  /// Lost tasks of the registered incarnation. Their dispatches may still be in flight, and the
+  /// worker has not confirmed yet that it will refuse them.
+  std::set<FencingToken> lost_tasks;
   /// Maintained by the leader; not replicated.
   TimePoint last_announced;
   bool silent = false;
@@ -33,6 +37,9 @@
   Incarnation Register(const RegisterWorker& registration, TimePoint now);
   void SetOperatorState(const WorkerId& worker, wire::WorkerState state);
   void Remove(const WorkerId& worker);
+  /// Adds a lost task, unless a later incarnation of the worker is registered.
+  void AddLostTask(const WorkerId& worker, Incarnation incarnation, FencingToken token);
+  void RemoveLostTasks(const WorkerId& worker, const std::vector<FencingToken>& tokens);
 
   const RegisteredWorker* Find(const WorkerId& worker) const;
 
--- a/tests/scheduler/domain_scheduler_test.cpp
+++ b/tests/scheduler/domain_scheduler_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(Worker_OldIncarnationAnnounces_IsRejected);
   CPPUNIT_TEST(Worker_RunsUnknownTask_IsChargedAndToldToStop);
   CPPUNIT_TEST(Worker_SilentWithTask_ChargeEndsAfterLeases);
+  CPPUNIT_TEST(Worker_HeardAfterTaskWasLost_MustRefuseTask);
   CPPUNIT_TEST(Charge_AfterFailover_NeverExceedsCapacity);
   CPPUNIT_TEST(Ledger_NotIdempotent_KeptForRetention);
   CPPUNIT_TEST(Replay_AllCommands_GivesSameState);
@@ -226,6 +227,24 @@
     CPPUNIT_ASSERT(fixture_->State("a") == RequestState::kUnknown);
   }
 
+  // Guards against a worker that exceeds its capacity because it starts a lost task after it was
+  // silent: the dispatch was in flight, and other tasks have the capacity.
+  void Worker_HeardAfterTaskWasLost_MustRefuseTask() {
+    const auto token = fixture_->Grant(SchedulerFixture::Request("a")).token;
+    fixture_->Wait(Milliseconds(20500));
+    CPPUNIT_ASSERT(fixture_->State("a") == RequestState::kUnknown);
+    wire::Announcement worker = SchedulerFixture::Worker("w");
+    CPPUNIT_ASSERT(fixture_->Announce(worker).stop == std::vector{token});
+    fixture_->log.StepDown();
+    fixture_->log.BecomeLeader();
+    const wire::AnnounceResult result = fixture_->Announce(worker);
+    CPPUNIT_ASSERT(result.stop == std::vector{token});
+    worker.acknowledged_response = result.response_number;
+    CPPUNIT_ASSERT(fixture_->Announce(worker).stop.empty());
+    worker.acknowledged_response = 0;
+    CPPUNIT_ASSERT(fixture_->Announce(worker).stop.empty());
+  }
+
   // Guards against a new leader that does not charge the running tasks.
   void Charge_AfterFailover_NeverExceedsCapacity() {
     FillWorker();
--- a/tests/scheduler/domain_state_test.cpp
+++ b/tests/scheduler/domain_state_test.cpp
@@ -55,16 +55,21 @@
                    Incarnation(2));
   }
 
-  // Guards against a snapshot that misses the term, an operator's drain or running tasks.
+  // Guards against a snapshot that misses the term, an operator's drain, running or lost tasks.
   void Snapshot_Restored_BehavesAlike() {
     Apply(StartTerm{Term(3)});
     Apply(Registration(1));
     Apply(SetOperatorState{WorkerId("w"), wire::WorkerState::kDraining});
     Apply(GrantOf("a", Term(3), 1));
+    Apply(GrantOf("lost", Term(3), 1));
+    const FencingToken token = state_.ledger().Find(RequestId("lost"))->tasks.at(0).token;
+    Apply(wire::FinishTask{
+        .id = RequestId("lost"), .token = token, .outcome = wire::TaskOutcome::kLost});
     DomainState copy;
     CPPUNIT_ASSERT(copy.Restore(state_.TakeSnapshot(), TimePoint()).has_value());
     CPPUNIT_ASSERT(copy.workers().Find(WorkerId("w"))->Availability() ==
                    placement::Availability::kDraining);
+    CPPUNIT_ASSERT(copy.workers().Find(WorkerId("w"))->lost_tasks == std::set{token});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, copy.ledger().Running().size());
     CPPUNIT_ASSERT(!copy.Apply(LogIndex(9), GrantOf("b", Term(2)), TimePoint()).accepted);
     CPPUNIT_ASSERT(copy.Apply(LogIndex(9), GrantOf("b", Term(3)), TimePoint()).accepted);
--- a/tests/scheduler/scheduler_fuzz_test.cpp
+++ b/tests/scheduler/scheduler_fuzz_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(SchedulerFuzzTest);
   CPPUNIT_TEST(Quiesce_EntryCrashedBeforeLateDispatch_LeaseEnds);
   CPPUNIT_TEST(Quiesce_GrantedAfterEntryGaveUp_LeaseEnds);
+  CPPUNIT_TEST(Worker_LateDispatchAfterSilence_KeepsCapacity);
   CPPUNIT_TEST(Domain_FaultsOfEveryKind_KeepsGuarantees);
   CPPUNIT_TEST_SUITE_END();
 
@@ -27,6 +28,14 @@
   // given up, because the first submission arrived late.
   void Quiesce_GrantedAfterEntryGaveUp_LeaseEnds() { Simulation(4261408759).Run(433); }
 
+  // Guards against a worker that exceeds its capacity, because it was silent until the lease of a
+  // task ended and starts the task from a late dispatch when it is heard again.
+  void Worker_LateDispatchAfterSilence_KeepsCapacity() {
+    Simulation(4293918591).Run(283);
+    Simulation(4294899455).Run(242);
+    Simulation(4261396471).Run(532);
+  }
+
   // Guards against workers charged beyond their capacity, requests that run twice, on two workers
   // or after they were reported as rejected, charges that are never released, and replicas whose
   // state differs. Random requests run while messages are lost or delayed, workers crash, and
--- a/tests/scheduler/simulation.cpp
+++ b/tests/scheduler/simulation.cpp
@@ -308,7 +308,8 @@
     for (const auto& [id, worker] : state.workers().workers()) {
       const RegisteredWorker* other = replay.workers().Find(id);
       equal = equal && other != nullptr && other->registration == worker.registration &&
-              other->operator_state == worker.operator_state;
+              other->operator_state == worker.operator_state &&
+              other->lost_tasks == worker.lost_tasks;
     }
     if (!equal) throw Violation("replicas differ");
   }
