Reject JSON that is nested deeply

A single document of another process could end a daemon. Copying and writing a document of nlohmann::json are recursive: a response to a hold or to an order with 1,000,000 levels, the payload of a caller and the answer of a worker with 100,000 levels (200 KB) each overflowed the stack. A worker's report of 4 MiB of "[" took 310 MB while it was parsed (trial of the parser alone), on machines with 256 MB; its sender then tries the next machine.

A document that is too deep is treated like one that is not JSON.

--- a/src/entry/json_fields.cpp
+++ b/src/entry/json_fields.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/json_document.h"
+
 namespace parsleyline::entry {
 namespace {
 
@@ -27,9 +29,11 @@
 }  // namespace
 
 Result<nlohmann::json> ParseObject(std::string_view body) {
-  nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  nlohmann::json document = ParseJson(body);
   if (document.is_discarded()) {
-    return Fail(ResultCode::kMalformedJson, "the body is not valid JSON; send one JSON object");
+    return Fail(ResultCode::kMalformedJson, "the body is not valid JSON or is nested deeper than " +
+                                                std::to_string(kMaxJsonNesting) +
+                                                " levels; send one JSON object");
   }
   if (!document.is_object()) {
     return Fail(ResultCode::kWrongType,
--- a/src/worker_gateway/task_messages.cpp
+++ b/src/worker_gateway/task_messages.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_document.h"
+
 namespace parsleyline::entry::internal {
 namespace {
 
@@ -12,7 +14,7 @@
 constexpr int kStatusConflict = 409;
 
 /// Parses a JSON text. The result of invalid input is discarded; it need not be an object.
-Json Parse(const std::string& body) { return Json::parse(body, nullptr, false); }
+Json Parse(const std::string& body) { return ParseJson<Json>(body); }
 
 std::string StringAt(const Json& object, const char* key) {
   const auto it = object.find(key);
--- a/tests/entry/request_parser_test.cpp
+++ b/tests/entry/request_parser_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(Digest_ReorderedFields_IsEqual);
   CPPUNIT_TEST(Digest_ChangedValue_Differs);
   CPPUNIT_TEST(Parse_MutatedBody_NeverCrashes);
+  CPPUNIT_TEST(Parse_PayloadNestedDeeply_IsRejected);
   CPPUNIT_TEST(Key_InvalidText_IsRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -147,6 +148,17 @@
     }));
   }
 
+  // Guards against an entry daemon that ends because it writes the payload recursively.
+  void Parse_PayloadNestedDeeply_IsRejected() {
+    const auto nested = [](std::size_t depth) {
+      return WithReplaced("{\"n\":7}", std::string(depth, '[') + std::string(depth, ']'));
+    };
+    CPPUNIT_ASSERT(CodeOf(nested(60)) == ResultCode::kOk);
+    CPPUNIT_ASSERT(CodeOf(nested(100'000)) == ResultCode::kMalformedJson);
+    CPPUNIT_ASSERT(CodeOf(WithReplaced("\"suva\"", std::string(100'000, '['))) ==
+                   ResultCode::kMalformedJson);
+  }
+
   // Guards against keys that cannot be logged or forwarded in a header.
   void Key_InvalidText_IsRejected() {
     CPPUNIT_ASSERT(CheckIdempotencyKey("order-17").has_value());
