Check the range of each number of the platform's documents

A job with the counts 10000 and 2^63 - 1 was accepted, because the sum of its tasks overflowed, with 2^32 - 1 tasks that each replica would create when it applies the log. Other numbers were cut off or changed their sign: max-per-server and repeats of 2^32 + 1 became 1, a port of 73256 became 7720, a run id of -1 became 2^64 - 1, negative times of workers were used, and 1e300 was converted to an integer, which is undefined.

--- a/tests/platform/odd_documents_test.cpp
+++ b/tests/platform/odd_documents_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "platform/node_file.h"
 #include "platform/wire_json.h"
 
 namespace parsleyline::platform {
@@ -12,6 +13,11 @@
 // Deep enough to exhaust the stack of a recursive function.
 constexpr std::size_t kDeep = 1'000'000;
 
+// Values that no member of a document may have.
+constexpr const char* kNumbersOutOfRange[] = {
+    "-1",     "-9223372036854775808", "9223372036854775807", "18446744073709551615", "1e30",
+    "-1e308", "99999999999999999999"};
+
 std::string Nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
 
 std::string ReportWith(const std::string& member) {
@@ -31,6 +37,15 @@
   CPPUNIT_TEST(Report_NestedDeeply_IsRejected);
   CPPUNIT_TEST(JobAndConfig_NestedDeeply_AreRejected);
   CPPUNIT_TEST(Document_BracketsInStrings_AreNotNesting);
+  CPPUNIT_TEST(Job_CountsThatOverflowTheSum_AreRejected);
+  CPPUNIT_TEST(Job_NumberOutOfRange_IsRejected);
+  CPPUNIT_TEST(Report_NumberOutOfRange_IsRejected);
+  CPPUNIT_TEST(Config_NumberOutOfRange_IsRejected);
+  CPPUNIT_TEST(HoldReply_NumberOutOfRange_IsUnreadable);
+  CPPUNIT_TEST(HoldReply_ProgressOutOfRange_CountsAsNone);
+  CPPUNIT_TEST(OrderReply_ClockOutOfRange_IsNoReading);
+  CPPUNIT_TEST(AdvisorReply_ValidityOutOfRange_IsUnreadable);
+  CPPUNIT_TEST(NodeFile_NumberOutOfRange_IsRejected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +92,131 @@
     const std::string nested = R"("seq":4,"born":77,"x":)" + Nested(63);
     CPPUNIT_ASSERT(DecodeReport("i", ReportWith(nested)).has_value());
   }
+
+  // Guards against a job whose sum of tasks overflows, and which every replica then fails to
+  // allocate when it applies the log.
+  void Job_CountsThatOverflowTheSum_AreRejected() {
+    CPPUNIT_ASSERT(
+        !DecodeJobSpec(R"({"job-steps":[{"count":10000},{"count":9223372036854775807}]})"));
+    CPPUNIT_ASSERT(!DecodeJobSpec(R"({"job-steps":[{"count":10001},{"count":10000}]})"));
+    CPPUNIT_ASSERT(DecodeJobSpec(R"({"job-steps":[{"count":10000},{"count":10000}]})"));
+  }
+
+  // Guards against numbers that a smaller type takes for others.
+  void Job_NumberOutOfRange_IsRejected() {
+    const auto is_valid = [](const std::string& step, const std::string& rest) {
+      return DecodeJobSpec(R"({"job-steps":[{"count":1)" + step + "}]" + rest + "}").has_value();
+    };
+    for (const std::string name : {"cpu", "mem-mb", "gpu", "estimate-ms", "max-per-server",
+                                   "target-ms", "max-unavailable"}) {
+      for (const char* value : kNumbersOutOfRange) {
+        CPPUNIT_ASSERT_MESSAGE(name + value, !is_valid(",\"" + name + "\":" + value, ""));
+      }
+    }
+    for (const std::string name : {"repeats", "start-at-ms", "interval-ms"}) {
+      for (const char* value : kNumbersOutOfRange) {
+        CPPUNIT_ASSERT_MESSAGE(name + value, !is_valid("", ",\"" + name + "\":" + value));
+      }
+    }
+    CPPUNIT_ASSERT(!is_valid("", R"(,"repeats":4294967297)"));
+    CPPUNIT_ASSERT(!is_valid(R"(,"max-per-server":4294967297)", ""));
+    CPPUNIT_ASSERT(!is_valid(R"(},{"count":1,"depends-on":[18446744073709551615])", ""));
+  }
+
+  void Report_NumberOutOfRange_IsRejected() {
+    for (const char* value : kNumbersOutOfRange) {
+      for (const std::string name : {"seq", "born", "drain-remaining-ms"}) {
+        CPPUNIT_ASSERT_MESSAGE(
+            name + value, !DecodeReport("i", ReportWith("\"" + name + "\":" + value)).has_value());
+      }
+      for (const std::string name : {"cpu", "mem-mb", "gpu"}) {
+        CPPUNIT_ASSERT_MESSAGE(
+            name + value,
+            !DecodeReport("i", ReportWith(R"("capacity":{")" + name + "\":" + value + "}")));
+      }
+    }
+  }
+
+  void Config_NumberOutOfRange_IsRejected() {
+    const auto is_valid = [](const std::string& version, const std::string& member) {
+      return DecodeConfig(R"({"version":)" + version +
+                          R"(,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h",)" +
+                          R"("prefix":"/p/","service":"s","timeout-ms":3000)" + member + "}]}")
+          .has_value();
+    };
+    CPPUNIT_ASSERT(is_valid("1", R"(,"priority":2,"attempts":4,"slack-factor":1.5)"));
+    for (const char* value : kNumbersOutOfRange) {
+      CPPUNIT_ASSERT_MESSAGE(value, !is_valid(value, ""));
+      for (const std::string name :
+           {"priority", "attempts", "slack-factor", "target-latency-ms", "timeout-ms"}) {
+        CPPUNIT_ASSERT_MESSAGE(name + value, !is_valid("1", ",\"" + name + "\":" + value));
+      }
+      for (const std::string name : {"decision-ms", "per-worker-ms", "valid-ms"}) {
+        const std::string advisor =
+            R"(,"advisor":{"decision-ms":1,"per-worker-ms":1,"valid-ms":1,")" + name + "\":";
+        CPPUNIT_ASSERT_MESSAGE(name + value, !is_valid("1", advisor + value + "}"));
+      }
+    }
+    CPPUNIT_ASSERT(!is_valid("1", R"(,"attempts":4294967297)"));
+    CPPUNIT_ASSERT(!is_valid("1", R"(,"priority":4294967296)"));
+  }
+
+  // Guards against a run or an end that is taken for another one.
+  void HoldReply_NumberOutOfRange_IsUnreadable() {
+    for (const std::string value : kNumbersOutOfRange) {
+      for (const std::string& body :
+           {R"({"clock-ms":)" + value + R"(,"active":[],"finished":[]})",
+            R"({"clock-ms":1,"born":)" + value + R"(,"active":[],"finished":[]})",
+            R"({"clock-ms":1,"active":[["j.0.1.1",)" + value + R"(,"",0]],"finished":[]})",
+            R"({"clock-ms":1,"active":[],"finished":[[)" + value + R"(,"j.0.1.9",1,"done",""]]})",
+            R"({"clock-ms":1,"active":[],"finished":[[1,"j.0.1.9",)" + value +
+                R"(,"done",""]]})"}) {
+        CPPUNIT_ASSERT_MESSAGE(body, DecodeHoldReply(200, body).outcome == OrderOutcome::kUnknown);
+      }
+    }
+  }
+
+  void HoldReply_ProgressOutOfRange_CountsAsNone() {
+    for (const std::string value : {"-1", "4294967397", "1e300", "18446744073709551615", "[]"}) {
+      const auto reply = DecodeHoldReply(200, R"({"clock-ms":1,"active":[["j.0.1.1",1,"",)" +
+                                                  value + "," + value + R"(]],"finished":[]})");
+      CPPUNIT_ASSERT(reply.outcome == OrderOutcome::kAccepted);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 0U, reply.active.at(0).percent);
+    }
+  }
+
+  // Guards against leases that end at an arbitrary time of the worker's clock.
+  void OrderReply_ClockOutOfRange_IsNoReading() {
+    for (const std::string value : kNumbersOutOfRange) {
+      const auto reply = DecodeOrderReply(200, R"({"clock-ms":)" + value + "}");
+      CPPUNIT_ASSERT_MESSAGE(value, reply.outcome == OrderOutcome::kAccepted);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, std::int64_t{0}, reply.clock.value());
+    }
+  }
+
+  void AdvisorReply_ValidityOutOfRange_IsUnreadable() {
+    for (const std::string value : kNumbersOutOfRange) {
+      const auto reply = DecodeAdvisorReply(200, R"({"valid-ms":)" + value + R"(,"approved":[]})");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 0U, static_cast<unsigned>(reply.answered));
+    }
+  }
+
+  void NodeFile_NumberOutOfRange_IsRejected() {
+    const auto is_valid = [](const std::string& port, const std::string& bounds) {
+      return DecodeNodeFile(R"({"node-name":"n","ip":"10.1.0.16","zone":"z","listen":{},)"
+                            R"("seeds":[],"internal-ports":[)" +
+                            port + R"(],"bounds":{)" + bounds + "}}")
+          .has_value();
+    };
+    CPPUNIT_ASSERT(is_valid("7720", R"("grace-s":6.5,"hold-max-ms":6000)"));
+    for (const char* port : {"0", "-1", "65536", "73256", "1e9", "18446744073709551615"}) {
+      CPPUNIT_ASSERT_MESSAGE(port, !is_valid(port, ""));
+    }
+    for (const std::string value : kNumbersOutOfRange) {
+      CPPUNIT_ASSERT_MESSAGE(value, !is_valid("7720", R"("grace-s":)" + value));
+      CPPUNIT_ASSERT_MESSAGE(value, !is_valid("7720", R"("hold-max-ms":)" + value));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddDocumentsTest);
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -127,6 +127,7 @@
   CPPUNIT_TEST(Decode_HugeLengths_AreRejectedWithoutAllocation);
   CPPUNIT_TEST(Decode_DeepNesting_IsRejected);
   CPPUNIT_TEST(Decode_EnumeratorOutOfRange_IsRejected);
+  CPPUNIT_TEST(Decode_IntegerOutOfRange_IsRejected);
   CPPUNIT_TEST(Decode_MembersMissingAtEnd_KeepDefaults);
   CPPUNIT_TEST(Decode_MembersAddedAtEnd_AreIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -174,6 +175,17 @@
     CPPUNIT_ASSERT(decoded.error().code == ResultCode::kMalformedMessage);
   }
 
+  // Guards against an integer that is cut off to the size of its member.
+  void Decode_IntegerOutOfRange_IsRejected() {
+    const std::string above_32_bits("\x92\x90\xcf\x00\x00\x00\x01\x00\x00\x00\x01", 11);
+    const std::string negative("\x92\x90\xff", 3);
+    const std::string floating("\x92\x90\xcb\x3f\xf0\x00\x00\x00\x00\x00\x00", 11);
+    for (const std::string& it : {above_32_bits, negative, floating}) {
+      CPPUNIT_ASSERT(!Decode<EntryHeartbeatReply>(it).has_value());
+    }
+    CPPUNIT_ASSERT(Decode<EntryHeartbeatReply>(std::string("\x92\x90\x07", 3)).has_value());
+  }
+
   // Guards against rejecting messages of older processes during an upgrade.
   void Decode_MembersMissingAtEnd_KeepDefaults() {
     const std::string only_first("\x91\xc4\x01w", 4);
