Accept only addresses of hosts for workers

ParseAddress() checked the port only, so that a report with blanks, a host name or 0.0.0.0 in its address named a worker that no call reaches.

The address must be an IP address that one host can have, and IPv6 needs brackets. A call to another address fails like one that was not sent.

--- a/tests/platform/odd_documents_test.cpp
+++ b/tests/platform/odd_documents_test.cpp
@@ -1,8 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/io_context.hpp>
 #include <string>
 
 #include "platform/node_file.h"
+#include "platform/platform_client.h"
 #include "platform/wire_json.h"
 
 namespace parsleyline::platform {
@@ -46,6 +48,8 @@
   CPPUNIT_TEST(OrderReply_ClockOutOfRange_IsNoReading);
   CPPUNIT_TEST(AdvisorReply_ValidityOutOfRange_IsUnreadable);
   CPPUNIT_TEST(NodeFile_NumberOutOfRange_IsRejected);
+  CPPUNIT_TEST(Report_OddAddress_IsRejected);
+  CPPUNIT_TEST(Client_OddAddress_FailsTheCall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -217,6 +221,68 @@
       CPPUNIT_ASSERT_MESSAGE(value, !is_valid("7720", R"("hold-max-ms":)" + value));
     }
   }
+
+  void Report_OddAddress_IsRejected() {
+    for (const std::string address : {"",
+                                      ":",
+                                      ":80",
+                                      "10.0.0.9",
+                                      "10.0.0.9:",
+                                      "10.0.0.9:0",
+                                      "10.0.0.9:65536",
+                                      "10.0.0.9:99999999999",
+                                      "10.0.0.9:-1",
+                                      "10.0.0.9:+80",
+                                      "10.0.0.9:80 ",
+                                      " 10.0.0.9:80",
+                                      "10.0.0.9: 80",
+                                      "10.0.0.9:8e1",
+                                      "10.0.0.999:80",
+                                      "10.0.0:80",
+                                      "host:80",
+                                      "10.0.0.9:80:80",
+                                      "0.0.0.0:80",
+                                      "255.255.255.255:80",
+                                      "224.0.0.1:80",
+                                      "::1",
+                                      "[::]:80",
+                                      "10.0.0.9\\u0000:80"}) {
+      const std::string body = ReportWith(R"("seq":4,"born":77,"addr":")" + address + "\"");
+      CPPUNIT_ASSERT_MESSAGE(address, !DecodeReport("i", body).has_value());
+    }
+    for (const std::string address : {"10.0.0.9:65535", "127.0.0.1:1", "[fd00::9]:8080"}) {
+      const std::string body = ReportWith(R"("seq":4,"born":77,"addr":")" + address + "\"");
+      CPPUNIT_ASSERT_MESSAGE(address, DecodeReport("i", body).has_value());
+    }
+  }
+
+  // Guards against a leader that ends, and each one after it, because the log has a worker whose
+  // address cannot be parsed.
+  void Client_OddAddress_FailsTheCall() {
+    boost::asio::io_context io;
+    PlatformClient client(io, Address());
+    int unanswered = 0;
+    for (const char* address : {"", "10.0.0.9:0", "10.0.0.9:65536", "host:80", "10.0.0.999:80"}) {
+      dispatch::StartOrder start;
+      start.to.address = address;
+      client.SendStart(start, [&](const dispatch::OrderReply& reply) {
+        if (reply.outcome == OrderOutcome::kNotSent) ++unanswered;
+      });
+      dispatch::StopOrder stop;
+      stop.to.address = address;
+      client.SendStop(stop, [&](const dispatch::OrderReply& reply) {
+        if (reply.outcome == OrderOutcome::kNotSent) ++unanswered;
+      });
+      dispatch::HoldOrder hold;
+      hold.to.address = address;
+      client.SendHold(hold, [&](const dispatch::HoldReply& reply) {
+        if (reply.outcome != OrderOutcome::kAccepted) ++unanswered;
+      });
+    }
+    CPPUNIT_ASSERT_EQUAL(0, unanswered);
+    io.run();
+    CPPUNIT_ASSERT_EQUAL(15, unanswered);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddDocumentsTest);
