--- a/tests/platform/odd_documents_test.cpp
+++ b/tests/platform/odd_documents_test.cpp
@@ -50,6 +50,10 @@
   CPPUNIT_TEST(NodeFile_NumberOutOfRange_IsRejected);
   CPPUNIT_TEST(Report_OddAddress_IsRejected);
   CPPUNIT_TEST(Client_OddAddress_FailsTheCall);
+  CPPUNIT_TEST(AdvisorQuery_IdNotUtf8_IsEncoded);
+  CPPUNIT_TEST(Report_OddId_IsRejected);
+  CPPUNIT_TEST(Report_DuplicateMembers_HasTheLastValue);
+  CPPUNIT_TEST(Report_BytesNotUtf8_IsRejected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -283,6 +287,37 @@
     io.run();
     CPPUNIT_ASSERT_EQUAL(15, unanswered);
   }
+
+  // Guards against a process that ends because an id with arbitrary bytes is written as JSON.
+  void AdvisorQuery_IdNotUtf8_IsEncoded() {
+    dispatch::AdvisorQuery query;
+    query.workers = {WorkerId("\xff\xfe"), WorkerId("i-1")};
+    const std::string body = EncodeAdvisorQuery(query);
+    CPPUNIT_ASSERT(body.find("i-1") != std::string::npos);
+  }
+
+  void Report_OddId_IsRejected() {
+    const std::string body = ReportWith(R"("seq":4,"born":77)");
+    for (const std::string& id :
+         {std::string(), std::string("a/b"), std::string("a b"), std::string("\xff\xfe"),
+          std::string("a\r\nb"), std::string("a\0b", 3), std::string(100'000, 'a')}) {
+      CPPUNIT_ASSERT_MESSAGE(id.substr(0, 9), !DecodeReport(id, body).has_value());
+    }
+    CPPUNIT_ASSERT(DecodeReport("i-7f3a91c2", body).has_value());
+    CPPUNIT_ASSERT(DecodeReport("zone-a.rack_1:7", body).has_value());
+  }
+
+  void Report_DuplicateMembers_HasTheLastValue() {
+    const auto report = DecodeReport("i", ReportWith(R"("born":77,"seq":4,"seq":5)"));
+    CPPUNIT_ASSERT(report.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, report->sequence);
+  }
+
+  void Report_BytesNotUtf8_IsRejected() {
+    CPPUNIT_ASSERT(!DecodeReport("i", ReportWith("\"seq\":4,\"zone\":\"\xff\"")).has_value());
+    CPPUNIT_ASSERT(!DecodeReport("i", ReportWith(R"("seq":4,"zone":"\ud800")")).has_value());
+    CPPUNIT_ASSERT(!DecodeReport("i", std::string("\0\0", 2)).has_value());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddDocumentsTest);
