Limit the run time that a worker reports

A run time of 2^64 - 1 ms became -1 ms, which the scheduler takes for the duration of the task. It is now at most the longest time limit of a request.

TaskResult_RunTimeOutOfRange_IsNotNegative failed on the code before.

--- a/src/worker_gateway/task_messages.cpp
+++ b/src/worker_gateway/task_messages.cpp
@@ -1,5 +1,6 @@
 #include "worker_gateway/task_messages.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,6 +13,8 @@
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
+// The longest time limit of a request.
+constexpr std::uint64_t kMaxRunTimeMs = 86'400'000;
 
 /// Parses a JSON text. The result of invalid input is discarded; it need not be an object.
 Json Parse(const std::string& body) { return ParseJson<Json>(body); }
@@ -76,7 +79,7 @@
   TaskResult task_result;
   task_result.message = StringAt(body, "message");
   task_result.run_time =
-      Milliseconds(static_cast<std::int64_t>(NumberAt(body, "run_ms").value_or(0)));
+      Milliseconds(std::min(NumberAt(body, "run_ms").value_or(0), kMaxRunTimeMs));
   const std::string outcome = StringAt(body, "outcome");
   if (result->status == kStatusConflict) {
     task_result.outcome = DispatchOutcome::kNotStarted;
--- a/tests/worker_gateway/task_messages_test.cpp
+++ b/tests/worker_gateway/task_messages_test.cpp
@@ -22,6 +22,7 @@
 class TaskMessagesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TaskMessagesTest);
   CPPUNIT_TEST(TaskResult_AnswerNestedDeeply_IsUnknown);
+  CPPUNIT_TEST(TaskResult_RunTimeOutOfRange_IsNotNegative);
   CPPUNIT_TEST(TokenReport_AnswerNestedDeeply_IsUnreachable);
   CPPUNIT_TEST(Response_OddDocuments_AreInvalid);
   CPPUNIT_TEST_SUITE_END();
@@ -33,6 +34,12 @@
     CPPUNIT_ASSERT(result.outcome == DispatchOutcome::kUnknown);
   }
 
+  void TaskResult_RunTimeOutOfRange_IsNotNegative() {
+    const auto result =
+        ToTaskResult(ResponseOf(R"({"outcome":"done","run_ms":18446744073709551615})"));
+    CPPUNIT_ASSERT(result.run_time >= Milliseconds(0));
+  }
+
   void TokenReport_AnswerNestedDeeply_IsUnreachable() {
     const auto report = ToTokenReport(
         ResponseOf(R"({"token":7,"state":"done","answer":)" + Nested() + "}"), FencingToken(7));
