Keep a worker that answers when a report contradicts it

A report in correct form, from another writer, could take a worker out of use: with the worker's id and start time but another address, its starts went to that address; under another id with its address and the same start time, it was removed and its runs counted as lost; with a start time far in the future, all its own reports were outdated. A huge sequence number hid the draining state that the worker reported later, so that it got tasks until it left.

A worker that answers holds has proved its address and start time. An incarnation keeps its address while it answers there, and one that does not is replaced whatever the sequence numbers say; of two workers with one address and start time, the one that answers stays. Draining counts in a delayed report too, since a draining worker never becomes ready again.

A later, plausible start time still ends the known incarnation at once: a restarted worker looks the same.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -29,6 +29,9 @@
 constexpr Milliseconds kProbation{6000};
 // A worker without runs is removed when it has been silent for this long.
 constexpr Milliseconds kSilentWorkerRetention{30'000};
+// Clocks of VMs differ by less than this. A start time later than that would outdate all later
+// incarnations of the worker.
+constexpr Milliseconds kMaxClockDifference = std::chrono::hours(24);
 
 }  // namespace
 
@@ -50,6 +53,12 @@
 
 void Coordinator::OnWorkerReport(const WorkerReport& report, CommitCallback done) {
   if (!is_leader_) return done(ResultCode::kNotLeader);
+  if (report.incarnation.started_at.value() > unix_time_().value() + kMaxClockDifference.count()) {
+    Event("report_from_future", Severity::kWarning)
+        .With("worker", report.incarnation.worker)
+        .With("born", report.incarnation.started_at);
+    return done(ResultCode::kOutOfRange);
+  }
   const Worker* previous = roster_.Find(report.incarnation.worker);
   const bool known = previous != nullptr && previous->report.incarnation == report.incarnation;
   const bool was_draining = known && previous->draining;
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -59,12 +59,19 @@
       return result;
     }
     if (report.incarnation == known.report.incarnation) {
+      const bool other_address = report.address != known.report.address;
+      if (other_address && known.IsAnswering()) {
+        result.current = false;
+        return result;
+      }
       known.last_report = now;
       result.worker = &known;
-      // A delayed report must not override a newer one, in particular not the draining state.
-      if (report.sequence <= known.report.sequence) return result;
-      known.report = report;
+      // A delayed report must not override a newer one. An incarnation has one address, so a report
+      // with another one has another writer, whose sequence numbers prove nothing.
+      if (other_address || report.sequence > known.report.sequence) known.report = report;
+      // A draining worker never becomes ready again, so that even a delayed report proves it.
       known.draining = known.draining || report.state == WorkerState::kDraining;
+      if (known.draining) known.report.state = WorkerState::kDraining;
       return result;
     }
     result.ended_incarnations.push_back(std::move(known));
@@ -76,7 +83,9 @@
       ++it;
       continue;
     }
-    if (it->second.report.incarnation.started_at > report.incarnation.started_at) {
+    const job::UnixMillis known_start = it->second.report.incarnation.started_at;
+    if (known_start > report.incarnation.started_at ||
+        (known_start == report.incarnation.started_at && it->second.IsAnswering())) {
       result.current = false;
       return result;
     }
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -106,6 +106,8 @@
   /// Returns the time until each run is expected to end and the resources that it then frees,
   /// ordered by time.
   std::vector<std::pair<Duration, Resources>> ExpectedReleases(TimePoint now) const;
+  /// Tells whether the worker has proved its address and start time by its last replies.
+  bool IsAnswering() const { return reconciled && unanswered_holds == 0; }
   bool IsOnProbation(TimePoint now) const { return now < probation_until; }
   /// Tells whether the worker gets new tasks.
   bool IsSchedulable(TimePoint now) const;
@@ -121,10 +123,11 @@
     Worker* worker = nullptr;
     /// Removed incarnations that the report proves to have ended, with their runs.
     std::vector<Worker> ended_incarnations;
-    /// False if a newer incarnation is known.
+    /// False if a newer incarnation is known, or if a worker that answers contradicts the report.
     bool current = true;
   };
-  /// Adds or updates the worker that sent a report.
+  /// Adds or updates the worker that sent a report. Another writer may have sent it: if nothing
+  /// else shows which report is true, the worker that answers is kept.
   ReportResult ApplyReport(const WorkerReport& report, TimePoint now);
   /// Removes a worker that has left. Returns it with its runs.
   std::optional<Worker> Remove(const WorkerId& id);
