Limit sums of work and durations

The expected work of a job is a product of processor time, tasks and duration, and the objective one of duration and slack. With the largest values that the decoders accept, both overflowed. The work of such a job was no longer above 10^9 ms of a core, although it is far more.

Products are computed as floating-point numbers and limited to values that can be added up.

--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -11,6 +11,9 @@
 // slower workers and the gaps between tasks.
 constexpr std::int64_t kUsablePermille = 850;
 constexpr std::int64_t kPermille = 1000;
+// Sums of work stop here, so that no calculation with a sum overflows.
+constexpr std::int64_t kMaxCoreMs = 1'000'000'000'000;
+constexpr Milliseconds kMaxWait = std::chrono::hours(24 * 365);
 // Shorter expected waits never lead to a rejection. They are within the error of the estimates: a
 // few tasks that end early make up for them.
 constexpr Milliseconds kMinRejectedWait{1000};
@@ -19,6 +22,18 @@
 constexpr Milliseconds kMinRetryAfter{500};
 constexpr Milliseconds kMaxRetryAfter{3000};
 
+/// Returns the CPU time of tasks in microseconds of a core. The exact integer may overflow.
+double CpuMicros(MilliCpu cpu, std::int64_t tasks, Duration duration) {
+  return static_cast<double>(cpu.count()) * static_cast<double>(tasks) *
+         static_cast<double>(duration / Milliseconds(1));
+}
+
+std::int64_t ToCoreMs(double core_us) {
+  const double core_ms = core_us / static_cast<double>(kPermille);
+  return core_ms < static_cast<double>(kMaxCoreMs) ? static_cast<std::int64_t>(core_ms)
+                                                   : kMaxCoreMs;
+}
+
 std::size_t PriorityLevel(std::uint32_t priority) {
   return std::min<std::size_t>(priority, kPriorityLevels - 1);
 }
@@ -33,13 +48,14 @@
 void Backlog::AddWaiting(ExpectedOutcome outcome, std::uint32_t priority, std::int64_t core_ms) {
   if (outcome == ExpectedOutcome::kExpired) return;
   ByPriority& work = outcome == ExpectedOutcome::kInTime ? in_time_core_ms : late_core_ms;
-  work[PriorityLevel(priority)] += core_ms;
+  std::int64_t& sum = work[PriorityLevel(priority)];
+  sum = std::min(sum + std::min(core_ms, kMaxCoreMs), kMaxCoreMs);
 }
 
 Duration Backlog::ProcessingTime(std::int64_t core_ms) const {
   const std::int64_t usable =
       std::max<std::int64_t>(capacity_millicores * kUsablePermille / kPermille, 1);
-  return Milliseconds(core_ms * kPermille / usable);
+  return std::min(Milliseconds(std::min(core_ms, kMaxCoreMs) * kPermille / usable), kMaxWait);
 }
 
 Duration Backlog::ExpectedInTimeWait(std::uint32_t priority) const {
@@ -51,13 +67,16 @@
                         SumUpTo(late_core_ms, PriorityLevel(priority)));
 }
 
+std::int64_t CpuWork(MilliCpu cpu, std::int64_t tasks, Duration duration) {
+  return ToCoreMs(CpuMicros(cpu, tasks, duration));
+}
+
 std::int64_t ExpectedCpuWork(const job::JobSpec& spec, const DurationModel& durations) {
-  std::int64_t core_us = 0;
+  double core_us = 0;
   for (const job::StepSpec& it : spec.steps) {
-    core_us +=
-        it.demand.cpu.count() * it.tasks * (durations.Predict(it.estimate) / Milliseconds(1));
+    core_us += CpuMicros(it.demand.cpu, it.tasks, durations.Predict(it.estimate));
   }
-  return core_us / kPermille * spec.OccurrenceCount();
+  return std::min(ToCoreMs(core_us) * spec.OccurrenceCount(), kMaxCoreMs);
 }
 
 AdmissionDecision DecideAdmission(const Backlog& backlog, std::uint32_t priority,
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -39,6 +39,10 @@
   Duration ProcessingTime(std::int64_t core_ms) const;
 };
 
+/// Returns the CPU time that tasks need, in milliseconds of a core. Limited, so that sums of many
+/// do not overflow.
+std::int64_t CpuWork(MilliCpu cpu, std::int64_t tasks, Duration duration);
+
 /// Returns the CPU time that all tasks of a job are expected to use, in core-milliseconds.
 std::int64_t ExpectedCpuWork(const job::JobSpec& spec, const DurationModel& durations);
 
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -109,9 +109,7 @@
     if (!worker.IsSchedulable(now)) continue;
     backlog_.capacity_millicores += worker.report.capacity.cpu.count();
     for (const auto& [key, run] : worker.runs) {
-      backlog_.running_core_ms += run.demand.cpu.count() *
-                                  (run.ExpectedRemaining(now) / Milliseconds(1)) /
-                                  static_cast<std::int64_t>(kPermille);
+      backlog_.running_core_ms += CpuWork(run.demand.cpu, 1, run.ExpectedRemaining(now));
     }
   }
   const job::UnixMillis unix_now = unix_time_();
@@ -130,9 +128,7 @@
       const job::StepSpec& step = job.spec.steps[i];
       const std::int64_t waiting = job.occurrences.front().steps[i].WaitingCount();
       backlog_.AddWaiting(urgency.outcome, queue->priority,
-                          waiting * step.demand.cpu.count() *
-                              (durations.Predict(step.estimate) / Milliseconds(1)) /
-                              static_cast<std::int64_t>(kPermille));
+                          CpuWork(step.demand.cpu, waiting, durations.Predict(step.estimate)));
     }
   }
 }
--- a/src/dispatch/duration_model.cpp
+++ b/src/dispatch/duration_model.cpp
@@ -12,6 +12,8 @@
 // Older observations fade out, because a new one never weighs less than 1 / this.
 constexpr double kObservationWindow = 300;
 constexpr double kMicrosPerMilli = 1000;
+// No prediction is longer, so that calculations with it do not overflow.
+constexpr Microseconds kMaxPrediction = std::chrono::hours(24 * 365);
 
 }  // namespace
 
@@ -36,7 +38,8 @@
   const double declared_weight = total_variance <= 0 ? 1 : log_duration_.variance / total_variance;
   const double by_declared = std::log(static_cast<double>(declared.count())) + log_error_.mean;
   const double log_ms = declared_weight * by_declared + (1 - declared_weight) * log_duration_.mean;
-  return Microseconds(std::llround(std::exp(log_ms) * kMicrosPerMilli));
+  const double us = std::exp(log_ms) * kMicrosPerMilli;
+  return us < kMaxPrediction.count() ? Microseconds(std::llround(us)) : kMaxPrediction;
 }
 
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/scheduling_rank.cpp
+++ b/src/dispatch/scheduling_rank.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1000;
+// Durations of jobs stop here, so that no calculation with them overflows.
+constexpr Duration kMaxPath = std::chrono::hours(24 * 365);
 
 template <typename IsDone, typename Cost>
 Duration LongestPath(const job::JobSpec& spec, IsDone is_done, Cost cost) {
@@ -17,7 +19,7 @@
     for (const std::uint32_t it : spec.steps[i].depends_on) {
       if (it < i) start = std::max(start, ends[it]);
     }
-    ends[i] = is_done(i) ? start : start + cost(i);
+    ends[i] = is_done(i) ? start : std::min(start + cost(i), kMaxPath);
     longest = std::max(longest, ends[i]);
   }
   return longest;
@@ -57,8 +59,10 @@
 
 Duration LatencyObjective(const job::JobSpec& spec, const job::QueueSettings& queue,
                           const DurationModel& durations) {
-  return CriticalPath(spec, queue, durations) * queue.slack_permille / kPermille +
-         queue.latency_target;
+  const Duration path = CriticalPath(spec, queue, durations);
+  const bool overflows = queue.slack_permille > 0 && path > Duration::max() / queue.slack_permille;
+  const Duration scaled = overflows ? kMaxPath : path * queue.slack_permille / kPermille;
+  return std::min(scaled, kMaxPath) + queue.latency_target;
 }
 
 SchedulingRank ComputeRank(TimePoint now, TimePoint accepted, Duration objective,
--- a/tests/dispatch/odd_reports_test.cpp
+++ b/tests/dispatch/odd_reports_test.cpp
@@ -2,11 +2,15 @@
 
 #include <string>
 
+#include "dispatch/admission.h"
+#include "dispatch/scheduling_rank.h"
 #include "tests/dispatch/coordinator_fixture.h"
 
 namespace parsleyline::dispatch {
 
-/// Reports that are valid one by one, but that no correct worker sends.
+using job::JobPhase;
+
+/// Reports and jobs that are valid one by one, but that no correct worker or caller sends.
 class OddReportsTest : public CoordinatorFixture {
   CPPUNIT_TEST_SUITE(OddReportsTest);
   CPPUNIT_TEST(Report_WorkerNeverAnswers_GetsNoTask);
@@ -16,6 +20,8 @@
   CPPUNIT_TEST(Report_SameStartAtAddressOfSilentWorker_ReplacesIt);
   CPPUNIT_TEST(Report_StartInTheFuture_IsRejected);
   CPPUNIT_TEST(Report_DrainingAfterHugeSequence_DrainsTheWorker);
+  CPPUNIT_TEST(Job_ExtremeDemandAndEstimate_HasLargeWork);
+  CPPUNIT_TEST(Job_ExtremeEstimates_HaveLongObjective);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -91,6 +97,36 @@
                    WorkerState::kDraining);
   }
 
+  // Guards against an overflow that makes the largest jobs seem to be free.
+  void Job_ExtremeDemandAndEstimate_HasLargeWork() {
+    job::JobSpec spec = ExtremeSpec();
+    CPPUNIT_ASSERT(ExpectedCpuWork(spec, DurationModel()) > 1'000'000'000);
+    Backlog backlog;
+    for (int i = 0; i < 1000; ++i) {
+      backlog.AddWaiting(ExpectedOutcome::kInTime, 0, ExpectedCpuWork(spec, DurationModel()));
+    }
+    CPPUNIT_ASSERT(backlog.ExpectedInTimeWait(0) > Duration(0));
+    CPPUNIT_ASSERT(backlog.ExpectedLateWait(0) > Duration(0));
+  }
+
+  // Guards against an overflow that makes the longest jobs seem to be late at once.
+  void Job_ExtremeEstimates_HaveLongObjective() {
+    const job::JobSpec spec = ExtremeSpec();
+    job::QueueSettings queue = Queue("urgent", 0);
+    queue.slack_permille = 1'000'000;
+    CPPUNIT_ASSERT(CriticalPath(spec, queue, DurationModel()) >= std::chrono::hours(24));
+    const Duration objective = LatencyObjective(spec, queue, DurationModel());
+    CPPUNIT_ASSERT(objective >= std::chrono::hours(24));
+    const SchedulingRank rank =
+        ComputeRank(clock_.Now(), clock_.Now(), objective, std::chrono::hours(24), 0);
+    CPPUNIT_ASSERT(rank.outcome == ExpectedOutcome::kInTime);
+    job::JobSpec small = spec;
+    for (job::StepSpec& it : small.steps) it.demand.cpu = MilliCpu(1000);
+    AddWorker("w1");
+    CPPUNIT_ASSERT(Submit("j", small) == ResultCode::kOk);
+    CPPUNIT_ASSERT(PhaseOf("j") == JobPhase::kRunning);
+  }
+
  private:
   void SendReport(const WorkerReport& report) {
     coordinator_->OnWorkerReport(report, [](ResultCode) {});
@@ -109,6 +145,15 @@
     report.address = Report("w1").address;
     return report;
   }
+
+  /// The largest values that the platform's decoder accepts.
+  static job::JobSpec ExtremeSpec() {
+    job::JobSpec spec = Spec(20, 10'000'000);
+    spec.steps.front().estimate = Milliseconds(10'000'000'000);
+    spec.steps.resize(1000, spec.steps.front());
+    for (std::uint32_t i = 1; i < spec.steps.size(); ++i) spec.steps[i].depends_on = {i - 1};
+    return spec;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddReportsTest);
