Let the soak send odd reports of workers

A writer beside the workers reports workers that do not exist, copies of real ones with an earlier start time, and sends invalid reports under the ids of real ones, up to 4 MB of nested brackets. Processes that end by themselves are a violation (END).

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,7 @@
 #include "base/event_log.h"
 #include "tests/soak/callers.h"
 #include "tests/soak/fault_plan.h"
+#include "tests/soak/odd_writer.h"
 #include "tests/soak/operator.h"
 #include "tests/soak/processes.h"
 #include "tests/standin_platform/standin_platform.h"
@@ -86,6 +87,7 @@
   }
   Callers callers(io, load, oracle);
   FaultPlan faults(io, setup.seed, processes, platform, config_operator);
+  OddWriter odd_writer(io, setup.seed, fleet.control_addresses, platform);
 
   processes.StartAll(platform.advisor_address());
   platform.Start();
@@ -97,12 +99,19 @@
   }
   callers.Start();
   io.run_for(kFirstFault);
-  if (setup.faults) faults.Start();
+  if (setup.faults) {
+    faults.Start();
+    odd_writer.Start();
+  }
   io.run_for(setup.length);
   callers.StopNewJobs();
+  for (const std::string& it : processes.FindUnexpectedEnds()) {
+    oracle.RecordViolation("END", it + " has ended by itself");
+  }
   faults.Heal();
   const SteadyTime healed = std::chrono::steady_clock::now();
   RunUntil(io, healed + kSettleTime, [&] { return callers.open_job_count() == 0; });
+  odd_writer.Stop();
   for (const std::string& it : oracle.UnfinishedJobs()) {
     oracle.RecordViolation("LOST", it + " was accepted and has not ended");
   }
--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -69,6 +69,14 @@
   return stalls;
 }
 
+std::vector<std::string> Processes::FindUnexpectedEnds() {
+  std::vector<std::string> ended;
+  for (Node& node : nodes_) {
+    if (node.up && !node.stopping && node.process->HasEnded()) ended.push_back(node.name);
+  }
+  return ended;
+}
+
 void Processes::WriteNodeFile(std::size_t number) {
   const Node& node = nodes_[number];
   json seeds = json::array();
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -41,6 +41,8 @@
   /// Returns the lines of all logs that report an event loop which waited longer than a leader may
   /// be silent before the next one is elected.
   std::vector<std::string> FindStalls() const;
+  /// Returns the names of the processes that have ended although nobody has stopped them.
+  std::vector<std::string> FindUnexpectedEnds();
 
   /// Sets the address of the advisor and starts all processes.
   void StartAll(const std::string& advisor);
