Record a changed capacity of a worker, and check it before a start is sent

Callers saw tasks started on workers that had shrunk, and capacity left unused on workers that had grown, for up to one report interval after a change of leader. Only reports of new and draining workers were recorded, so that a new leader began with the capacity of a worker's first report. And a start whose record was being committed when a smaller capacity was reported was still sent.

Reports with another capacity are now recorded too, and a start is not sent if the charges of its worker, the run included, exceed the capacity in a resource that the run needs. Such a run is lost as "not_sent" and starts elsewhere.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -53,6 +53,7 @@
   const Worker* previous = roster_.Find(report.incarnation.worker);
   const bool known = previous != nullptr && previous->report.incarnation == report.incarnation;
   const bool was_draining = known && previous->draining;
+  const Resources last_capacity = known ? previous->report.capacity : Resources();
   WorkerRoster::ReportResult result = roster_.ApplyReport(report, clock_.Now());
   for (const Worker& it : result.ended_incarnations) RecordIncarnationEnd(it, "replaced");
   if (result.worker == nullptr) {
@@ -62,13 +63,19 @@
   if (result.worker->draining && !was_draining) {
     result.worker->drain_end = clock_.Now() + report.drain_remaining;
   }
-  if (known && was_draining == result.worker->draining) return done(ResultCode::kOk);
+  // A new leader starts from the recorded capacity until the worker reports to it.
+  const bool same_capacity = result.worker->report.capacity == last_capacity;
+  if (known && was_draining == result.worker->draining && same_capacity) {
+    return done(ResultCode::kOk);
+  }
   Event("worker_noted")
       .With("worker", report.incarnation.worker)
       .With("born", report.incarnation.started_at)
       .With("address", report.address)
       .With("draining", result.worker->draining ? "yes" : "no")
-      .With("drain_remaining_ms", report.drain_remaining.count());
+      .With("drain_remaining_ms", report.drain_remaining.count())
+      .With("cpu", result.worker->report.capacity.cpu.count())
+      .With("memory_mb", result.worker->report.capacity.memory.count());
   next_batch_.reports.push_back(result.worker->report);
   CallWhenDurable(std::move(done));
 }
@@ -198,7 +205,8 @@
     next_batch_.ends.push_back({record.task, record.run, job::RunEnd::kLost, {}});
     return;
   }
-  if (run->stop_requested || worker->draining) {
+  // The worker may have reported a smaller capacity while the record was being committed.
+  if (run->stop_requested || worker->draining || !worker->CanHold(run->demand)) {
     run->phase = RunPhase::kSent;
     pending_starts_.erase(pending);
     MarkLost(run, "not_sent");
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -34,6 +34,15 @@
   return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
 }
 
+bool Worker::CanHold(const Resources& demand) const {
+  const Resources free = FreeCapacity();
+  const auto is_exceeded = [](auto needed, auto left) {
+    return needed.count() > 0 && left.count() < 0;
+  };
+  return !is_exceeded(demand.cpu, free.cpu) && !is_exceeded(demand.memory, free.memory) &&
+         !is_exceeded(demand.accelerators, free.accelerators);
+}
+
 std::vector<std::pair<Duration, Resources>> Worker::ExpectedReleases(TimePoint now) const {
   std::vector<std::pair<Duration, Resources>> ends;
   ends.reserve(runs.size());
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -102,7 +102,11 @@
   const WorkerId& id() const { return report.incarnation.worker; }
   bool HasLabel(const std::string& label) const;
   WorkerAddress Address() const { return {report.incarnation, report.address}; }
+  /// Negative if the capacity has shrunk below the charges.
   Resources FreeCapacity() const { return report.capacity - charged; }
+  /// Tells whether the charges, which include `demand`, are within the capacity in each resource
+  /// that `demand` needs.
+  bool CanHold(const Resources& demand) const;
   /// Returns the time until each run is expected to end and the resources that it then frees,
   /// ordered by time.
   std::vector<std::pair<Duration, Resources>> ExpectedReleases(TimePoint now) const;
--- a/src/job/job_records.h
+++ b/src/job/job_records.h
@@ -80,7 +80,8 @@
 struct CommandBatch {
   /// Configuration that comes into force if its version is the highest; version 0 means none.
   CellConfig config;
-  /// Reports of workers that are new, have a new incarnation, or are draining.
+  /// Reports of workers that are new, have a new incarnation, are draining, or have another
+  /// capacity than before.
   std::vector<WorkerReport> reports;
   /// Incarnations of workers that have ended.
   std::vector<WorkerIncarnation> ended_incarnations;
