Give up tasks that crash the workers that start them

A task that crashes its worker was started on one worker after the other for ever: the runs of a crashed worker were recorded as lost, which counts for neither the task nor its job.

The state of a task now counts the workers that crashed under it, and those that crashed within half a second of a start. Three of the latter give it up. After three crashes of any kind it starts twice more at most, so that a sound task that shares its workers with others is not failed too early. Its job then is failed and its other runs are stopped; the leader logs task_given_up. Only a newer incarnation of the worker, or a newer worker at its address, proves a crash. A lease that expired on a silent worker is kept in the state as a possible crash until the worker answers, is replaced or leaves, and bounds the starts meanwhile, so that neither a change of leader nor a worker that is back late loses a crash. Orders that were not sent, were refused or not carried out, planned departures and partitions count nothing. For long-running tasks only crashes within 10 s of a start count.

A task under which a worker has crashed avoids workers with another such task if any other fits, and its worker gets no other tasks for 2 s if the next crash could be the third. Other steps are scheduled as before.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -51,7 +51,9 @@
   is_confirming_leadership_ = false;
   for (const auto& [id, report] : cell_state_.registered_workers()) {
     Worker* worker = roster_.ApplyReport(report, now).worker;
-    if (worker != nullptr) worker->lease_clock.AssumeLeaseAt(now);
+    if (worker == nullptr) continue;
+    worker->lease_clock.AssumeLeaseAt(now);
+    worker->lease_expired_under_run = cell_state_.IsSilent(report.incarnation);
   }
   for (const auto& [key, open] : cell_state_.open_runs()) RestoreRun(open);
   for (const auto& [id, job] : cell_state_.jobs()) {
@@ -77,6 +79,7 @@
   is_leader_ = false;
   roster_.Clear();
   worker_by_run_.clear();
+  suspects_.clear();
   waiting_steps_.clear();
   ended_jobs_.clear();
   timed_jobs_.clear();
@@ -130,6 +133,13 @@
     changed_jobs.insert(it.task.step.job);
     RemoveRun({it.task, it.run});
   }
+  for (const job::GivenUpTask& it : changes.given_up) {
+    ++counts_.given_up;
+    Event("task_given_up", Severity::kWarning)
+        .With("task", it.task)
+        .With("reason", "crashes_workers")
+        .With("crashes", it.crashes);
+  }
   for (const auto* list : {&changes.ended, &changes.cancelled}) {
     for (const job::JobId& it : *list) {
       Event("job_ended").With("job", it).With("phase", job::Name(cell_state_.Find(it)->phase));
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -104,6 +104,8 @@
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
     std::uint64_t advice_calls = 0;
+    /// Tasks that were given up because of the workers that crashed under them.
+    std::uint64_t given_up = 0;
   };
   Counts counts() const;
 
@@ -116,7 +118,8 @@
   /// Charges a run that an earlier leader ordered to its worker, or records it as lost.
   void RestoreRun(const job::OpenRun& open);
   /// Records that an incarnation of a worker has ended, and its runs with it.
-  void RecordIncarnationEnd(const Worker& worker, const char* reason);
+  /// `crashed` tells whether the worker ended without leaving.
+  void RecordIncarnationEnd(const Worker& worker, const char* reason, bool crashed);
   void SendDueHolds();
   void SendDueStops();
   /// Marks the runs of workers with an expired lease as lost, and removes workers that have been
@@ -154,6 +157,10 @@
   /// Sends the start order of a start that has become durable.
   void SendStart(const job::StartRecord& record);
   void RemoveRun(const job::RunKey& key);
+  /// Marks the workers of runs under whose tasks workers have crashed. A worker gets no other tasks
+  /// while a run that would be given up after the next crash is observed.
+  void MarkSuspects(SchedulingPass* pass);
+  void MarkSuspect(const Run& run, const Worker& worker, SchedulingPass* pass) const;
 
   // Waiting steps.
 
@@ -188,6 +195,7 @@
   void QueryUndecidedWorkers(WaitingStep* waiting, SchedulingPass* pass);
   void QueryAdvisor(WaitingStep* waiting, std::vector<const Worker*> workers, SchedulingPass* pass);
   void QueryWorkersWithCapacity(WaitingStep* waiting, std::uint32_t tasks, SchedulingPass* pass);
+  /// Returns the waiting tasks that may start now.
   std::vector<std::uint32_t> FindWaitingTasks(const WaitingStep& waiting) const;
   std::map<WorkerId, std::uint32_t> CountRunsByWorker(const job::StepKey& step) const;
   bool HasOpenRun(const job::StepKey& step) const;
@@ -208,6 +216,8 @@
   Fence fence_;
   WorkerRoster roster_;
   std::map<job::RunKey, WorkerId> worker_by_run_;
+  /// Runs of tasks under which a worker has crashed.
+  std::set<job::RunKey> suspects_;
   std::map<job::StepKey, std::unique_ptr<WaitingStep>> waiting_steps_;
   /// A process that can call the advisor.
   struct AdvisorClient {
--- a/src/dispatch/coordinator_gangs.cpp
+++ b/src/dispatch/coordinator_gangs.cpp
@@ -37,6 +37,9 @@
   if (pass->now < waiting->next_attempt) return WithholdReservedWorkers(waiting, pass);
   // A gang is started again only when all runs of the earlier attempt have ended.
   if (HasOpenRun(waiting->key)) return;
+  const auto& tasks = cell_state_.FindStep(waiting->key)->tasks;
+  const auto is_held_back = [](const job::TaskState& it) { return it.IsHeldBack(); };
+  if (std::any_of(tasks.begin(), tasks.end(), is_held_back)) return;
   waiting->next_attempt = pass->now + kGangRetryInterval;
   const job::StepSpec& step = cell_state_.Find(waiting->key.job)->spec.steps[waiting->key.step];
   const job::QueueSettings& queue = *pass->config->Find(waiting->queue);
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -37,6 +37,9 @@
 // little within this time, and computing them in each pass would cost more than the rest of the
 // pass.
 constexpr Milliseconds kEstimateInterval{500};
+// While a run is observed, its worker gets no other tasks, so that a crash says more about the run.
+// A task that crashes its worker does so soon after its start.
+constexpr Milliseconds kObservationTime{2000};
 // Tasks of lower priority with more slack than this wait while a gang is waiting. They would take
 // the capacity that the gang needs, and can still meet their objective later.
 constexpr Milliseconds kDeferrableSlack{5000};
@@ -144,7 +147,7 @@
   for (auto& [id, worker] : roster_.workers()) {
     if (!worker.IsSchedulable(pass->now)) continue;
     const Resources free = worker.FreeCapacity();
-    pass->capacity_by_slot[worker.slot] = {&worker, free, false, nullptr};
+    pass->capacity_by_slot[worker.slot] = {&worker, free, false, false, nullptr};
     pass->schedulable_slots.push_back(worker.slot);
     pass->max_free.RaiseTo(free);
   }
@@ -153,6 +156,7 @@
       pass->capacity_by_slot[it].reserved_for = waiting.get();
     }
   }
+  MarkSuspects(pass);
   for (auto& [id, client] : advisor_clients_) {
     if (client.step_in_flight && pass->now - client.query_sent_at > kAdvisorCallTimeout) {
       if (const auto it = waiting_steps_.find(*client.step_in_flight); it != waiting_steps_.end()) {
@@ -166,6 +170,25 @@
   }
 }
 
+void Coordinator::MarkSuspects(SchedulingPass* pass) {
+  std::erase_if(suspects_, [this, pass](const job::RunKey& key) {
+    Worker* worker = nullptr;
+    const Run* run = FindRun(key, &worker);
+    if (run != nullptr) MarkSuspect(*run, *worker, pass);
+    return run == nullptr;
+  });
+}
+
+void Coordinator::MarkSuspect(const Run& run, const Worker& worker, SchedulingPass* pass) const {
+  SchedulingPass::WorkerCapacity& capacity = pass->capacity_by_slot[worker.slot];
+  capacity.has_suspect = true;
+  const job::TaskState* task = cell_state_.FindTask(run.key.task);
+  const bool next_crash_is_last = task != nullptr && task->crashes + 1 >= job::kMaxStartingCrashes;
+  if (next_crash_is_last && pass->now < run.ordered_at + kObservationTime) {
+    capacity.withheld = true;
+  }
+}
+
 void Coordinator::ScheduleWaitingSteps() {
   if (waiting_steps_.empty()) return;
   SchedulingPass pass;
@@ -213,7 +236,7 @@
   const job::StepState& step = *cell_state_.FindStep(waiting.key);
   std::vector<std::uint32_t> tasks;
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-    if (step.tasks[i].phase != job::TaskPhase::kWaiting) continue;
+    if (step.tasks[i].phase != job::TaskPhase::kWaiting || step.tasks[i].IsHeldBack()) continue;
     const job::RunNumber next(step.tasks[i].run.value() + 1);
     if (!worker_by_run_.contains({{waiting.key, i}, next})) tasks.push_back(i);
   }
@@ -243,6 +266,10 @@
                                                : std::map<WorkerId, std::uint32_t>();
   const bool needs_ticket = queue.needs_ticket != 0;
   const bool only_approved = needs_ticket && filter != AdvisorFilter::kNotRejected;
+  const auto& tasks = cell_state_.FindStep(waiting.key)->tasks;
+  const bool is_suspect = std::any_of(tasks.begin(), tasks.end(), [](const job::TaskState& it) {
+    return it.phase == job::TaskPhase::kWaiting && it.crashes > 0;
+  });
   std::vector<Candidate> candidates;
   for (const std::uint32_t slot :
        only_approved ? waiting.decisions.approved() : pass.schedulable_slots) {
@@ -264,7 +291,8 @@
     const auto count = running.find(capacity.worker->id());
     candidates.push_back({capacity.worker, capacity.free,
                           count == running.end() ? 0 : count->second,
-                          capacity.reserved_for != nullptr && capacity.reserved_for != &waiting});
+                          capacity.reserved_for != nullptr && capacity.reserved_for != &waiting,
+                          is_suspect && capacity.has_suspect});
   }
   return candidates;
 }
@@ -397,6 +425,10 @@
   run.ordered_at = pass->now;
   worker_by_run_[key] = worker->id();
   pass->capacity_by_slot[worker->slot].free = worker->FreeCapacity();
+  if (cell_state_.FindTask(key.task)->crashes > 0) {
+    suspects_.insert(key);
+    MarkSuspect(run, *worker, pass);
+  }
   StartOrder order;
   order.to = worker->Address();
   order.run = key;
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -29,6 +29,29 @@
 constexpr Milliseconds kProbation{6000};
 // A worker without runs is removed when it has been silent for this long.
 constexpr Milliseconds kSilentWorkerRetention{30'000};
+// A run had only just started if it was younger than this when its worker fell silent.
+constexpr Milliseconds kStartingTime{500};
+// A long-running task outlives many workers. Only crashes this soon after its start count for it.
+constexpr Milliseconds kLongRunningStartTime{10'000};
+
+// Tells whether a run may have been active on a worker that has ended by `now`, and may have
+// crashed it.
+bool MayHaveCrashed(const Run& run, const Worker& worker, TimePoint now) {
+  if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kRecordingEnd) return false;
+  const bool is_long_running =
+      (run.flags & static_cast<std::uint32_t>(job::StepFlag::kLongRunning)) != 0;
+  return !is_long_running || worker.RunningUntil(now) - run.ordered_at < kLongRunningStartTime;
+}
+
+// Returns 1 if a run had only just started when its worker fell silent, otherwise 0.
+std::uint32_t HadJustStarted(const Run& run, const Worker& worker, TimePoint now) {
+  return worker.RunningUntil(now) - run.ordered_at < kStartingTime ? 1 : 0;
+}
+
+// Tells whether a worker that was replaced had left as planned although it did not say so.
+bool HasDrained(const Worker& worker, TimePoint now) {
+  return worker.draining && now >= worker.drain_end;
+}
 
 }  // namespace
 
@@ -44,6 +67,8 @@
   run.phase = RunPhase::kSent;
   run.ordered_at = clock_.Now();
   worker_by_run_[key] = worker->id();
+  const job::TaskState* task = cell_state_.FindTask(open.task);
+  if (task != nullptr && task->crashes > 0) suspects_.insert(key);
   const job::Job* job = cell_state_.Find(open.task.step.job);
   if (job == nullptr || job->HasEnded()) RequestStop(&run);
 }
@@ -55,7 +80,9 @@
   const bool was_draining = known && previous->draining;
   const Resources last_capacity = known ? previous->report.capacity : Resources();
   WorkerRoster::ReportResult result = roster_.ApplyReport(report, clock_.Now());
-  for (const Worker& it : result.ended_incarnations) RecordIncarnationEnd(it, "replaced");
+  for (const Worker& it : result.ended_incarnations) {
+    RecordIncarnationEnd(it, "replaced", !HasDrained(it, clock_.Now()));
+  }
   if (result.worker == nullptr) {
     Event("report_outdated", Severity::kWarning).With("worker", report.incarnation.worker);
     return done(ResultCode::kOk);
@@ -84,24 +111,35 @@
   if (!is_leader_) return done(ResultCode::kNotLeader);
   auto worker = roster_.Remove(id);
   if (!worker) return done(ResultCode::kOk);
-  RecordIncarnationEnd(*worker, "left");
+  RecordIncarnationEnd(*worker, "left", false);
   CallWhenDurable(std::move(done));
 }
 
-void Coordinator::RecordIncarnationEnd(const Worker& worker, const char* reason) {
+void Coordinator::RecordIncarnationEnd(const Worker& worker, const char* reason, bool crashed) {
   Event("worker_lifetime_ended")
       .With("worker", worker.id())
       .With("born", worker.report.incarnation.started_at)
       .With("reason", reason)
       .With("runs", worker.runs.size());
   next_batch_.ended_incarnations.push_back(worker.report.incarnation);
+  const TimePoint now = clock_.Now();
+  job::CrashRecord crash{worker.report.incarnation, {}};
   for (const auto& [key, run] : worker.runs) {
+    if (crashed && MayHaveCrashed(run, worker, now)) {
+      Event("worker_crashed", Severity::kWarning)
+          .With("worker", worker.id())
+          .With("run", key.task)
+          .With("number", key.run)
+          .With("age_ms", (worker.RunningUntil(now) - run.ordered_at) / Milliseconds(1));
+      crash.tasks.push_back({key.task, HadJustStarted(run, worker, now)});
+    }
     worker_by_run_.erase(key);
     pending_starts_.erase(key);
     // This end may be applied before the record of a start that is only proposed. SendStart() then
     // records that run as lost.
     next_batch_.ends.push_back({key.task, key.run, job::RunEnd::kLost, run.checkpoint});
   }
+  if (crashed) next_batch_.crashes.push_back(std::move(crash));
   outbox_.RequestSchedulingPass();
 }
 
@@ -163,6 +201,11 @@
     std::size_t lost = 0;
     for (auto& [key, run] : worker.runs) {
       if (run.phase == RunPhase::kRecordingEnd || run.phase == RunPhase::kProposed) continue;
+      if (MayHaveCrashed(run, worker, now)) {
+        next_batch_.silences.push_back(
+            {key.task, worker.report.incarnation, HadJustStarted(run, worker, now)});
+        worker.lease_expired_under_run = true;
+      }
       MarkLost(&run, "lease_lapsed");
       ++lost;
     }
@@ -172,11 +215,10 @@
           .With("runs", lost)
           .With("silent_ms", (now - worker.last_hold_reply) / Milliseconds(1));
     }
-    const bool is_gone =
-        now - std::max(worker.last_report, worker.last_hold_reply) > kSilentWorkerRetention;
+    const bool is_gone = now - worker.LastSeen() > kSilentWorkerRetention;
     if (is_gone && worker.runs.empty()) silent.push_back(id);
   }
-  for (const WorkerId& id : silent) RecordIncarnationEnd(*roster_.Remove(id), "silent");
+  for (const WorkerId& id : silent) RecordIncarnationEnd(*roster_.Remove(id), "silent", false);
 }
 
 Run* Coordinator::FindRun(const job::RunKey& key, Worker** worker) {
@@ -325,6 +367,7 @@
                                  reply.started_at != worker->report.incarnation.started_at;
   if (reply.outcome != OrderOutcome::kAccepted || other_incarnation) {
     if (worker->unanswered_holds++ == 0) {
+      worker->silent_since = now;
       Event("worker_silent", Severity::kWarning)
           .With("worker", worker->id())
           .With("outcome", other_incarnation ? "other_lifetime" : Name(reply.outcome));
@@ -333,6 +376,9 @@
     return;
   }
   worker->lease_clock.RecordReading(reply.clock, now);
+  if (std::exchange(worker->lease_expired_under_run, false)) {
+    next_batch_.returned_incarnations.push_back(worker->report.incarnation);
+  }
   worker->unanswered_holds = 0;
   worker->last_hold_reply = now;
   worker->next_hold = now;
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -42,8 +42,11 @@
   struct WorkerCapacity {
     Worker* worker = nullptr;
     Resources free;
-    /// Reserved by a gang that precedes all steps that are scheduled later in this pass.
+    /// Gets no more tasks in this pass, because it is reserved by a gang that precedes all steps
+    /// that are scheduled later, or has a run that is observed.
     bool withheld = false;
+    /// Has a run under whose task a worker has crashed.
+    bool has_suspect = false;
     /// The gang that has reserved this worker, or null.
     const WaitingStep* reserved_for = nullptr;
   };
--- a/src/dispatch/task_placement.cpp
+++ b/src/dispatch/task_placement.cpp
@@ -50,7 +50,7 @@
                                  std::vector<Candidate> candidates) {
   std::erase_if(candidates, [&step](const Candidate& it) { return CountFitting(step, it) == 0; });
   const auto rank = [&step](const Candidate& it) {
-    return std::tuple(it.reserved, !IsOnDataRack(step, it), FreeShareAfter(step, it));
+    return std::tuple(it.reserved, it.avoided, !IsOnDataRack(step, it), FreeShareAfter(step, it));
   };
   std::sort(candidates.begin(), candidates.end(),
             [&rank](const Candidate& a, const Candidate& b) { return rank(a) < rank(b); });
--- a/src/dispatch/task_placement.h
+++ b/src/dispatch/task_placement.h
@@ -19,6 +19,9 @@
   /// Reserved by a gang that comes later in the pass. Used only if no other worker fits, because a
   /// gang that keeps losing its reserved capacity never starts.
   bool reserved = false;
+  /// Has a run under whose task a worker has crashed, as has the step to be placed. Used only if no
+  /// other worker fits, because a crash would not show which of the two has caused it.
+  bool avoided = false;
 };
 
 /// Returns how many tasks of a step fit on a candidate now.
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -54,8 +54,7 @@
 bool Worker::IsSchedulable(TimePoint now) const {
   if (!reconciled || draining || now < quarantined_until) return false;
   if (IsOnProbation(now) && !runs.empty()) return false;
-  return unanswered_holds < kMaxUnansweredHolds &&
-         now - std::max(last_report, last_hold_reply) < kMaxSilence;
+  return unanswered_holds < kMaxUnansweredHolds && now - LastSeen() < kMaxSilence;
 }
 
 WorkerRoster::ReportResult WorkerRoster::ApplyReport(const WorkerReport& report, TimePoint now) {
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -82,10 +83,13 @@
   bool hold_in_flight = false;
   std::uint64_t holds_sent = 0;
   TimePoint next_hold;
-  /// Consecutive holds without an answer.
+  /// Consecutive holds without an answer, and when the first of them failed.
   std::uint32_t unanswered_holds = 0;
+  TimePoint silent_since;
   /// True once this leader has received the lists of the worker.
   bool reconciled = false;
+  /// True if the lease expired under a run and the worker has not answered since.
+  bool lease_expired_under_run = false;
   bool draining = false;
   /// Earliest time at which a draining worker leaves.
   TimePoint drain_end;
@@ -110,6 +114,10 @@
   /// Returns the time until each run is expected to end and the resources that it then frees,
   /// ordered by time.
   std::vector<std::pair<Duration, Resources>> ExpectedReleases(TimePoint now) const;
+  /// Returns when the worker last gave a sign of life.
+  TimePoint LastSeen() const { return std::max(last_report, last_hold_reply); }
+  /// Returns until when the worker may have been running if it has ended by `now`.
+  TimePoint RunningUntil(TimePoint now) const { return unanswered_holds > 0 ? silent_since : now; }
   bool IsOnProbation(TimePoint now) const { return now < probation_until; }
   /// Tells whether the worker gets new tasks.
   bool IsSchedulable(TimePoint now) const;
--- a/src/job/cell_state.cpp
+++ b/src/job/cell_state.cpp
@@ -45,7 +45,11 @@
     changes.config_changed = true;
   }
   for (const WorkerReport& it : batch.reports) ApplyReport(it);
+  for (const SilenceRecord& it : batch.silences) ApplySilence(it);
+  for (const WorkerIncarnation& it : batch.returned_incarnations) RemoveSilences(it);
+  for (const CrashRecord& it : batch.crashes) ApplyCrash(it, &changes);
   for (const WorkerIncarnation& it : batch.ended_incarnations) {
+    RemoveSilences(it);
     const auto found = registered_workers_.find(it.worker);
     if (found != registered_workers_.end() && found->second.incarnation == it) {
       registered_workers_.erase(found);
@@ -73,6 +77,68 @@
   if (drains) known.state = WorkerState::kDraining;
 }
 
+void CellState::ApplySilence(const SilenceRecord& record) {
+  TaskState* task = MutableTask(record.task);
+  if (task == nullptr || task->phase == TaskPhase::kDone) return;
+  auto& silent = task->silent_workers;
+  const auto is_same = [&record](const SilentWorker& it) { return it.worker == record.worker; };
+  if (std::any_of(silent.begin(), silent.end(), is_same)) return;
+  silent.push_back({record.worker, record.starting});
+  silent_tasks_[record.worker].push_back(record.task);
+}
+
+std::vector<CrashedTask> CellState::RemoveSilences(const WorkerIncarnation& worker) {
+  std::vector<CrashedTask> removed;
+  const auto entry = silent_tasks_.extract(worker);
+  if (entry.empty()) return removed;
+  for (const TaskKey& key : entry.mapped()) {
+    TaskState* task = MutableTask(key);
+    if (task == nullptr) continue;
+    auto& silent = task->silent_workers;
+    const auto it = std::find_if(silent.begin(), silent.end(),
+                                 [&worker](const SilentWorker& s) { return s.worker == worker; });
+    if (it == silent.end()) continue;
+    removed.push_back({key, it->starting});
+    silent.erase(it);
+  }
+  return removed;
+}
+
+void CellState::IndexSilences(const Job& job) {
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    const auto& steps = job.occurrences[k].steps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+        for (const SilentWorker& it : steps[s].tasks[i].silent_workers) {
+          silent_tasks_[it.worker].push_back({{job.id, k, s}, i});
+        }
+      }
+    }
+  }
+}
+
+void CellState::ApplyCrash(const CrashRecord& record, AppliedChanges* changes) {
+  std::map<TaskKey, CrashedTask> tasks;
+  for (const CrashedTask& it : RemoveSilences(record.worker)) tasks[it.task] = it;
+  for (const CrashedTask& it : record.tasks) tasks[it.task] = it;
+  for (const auto& [key, it] : tasks) CountCrash(it, changes);
+}
+
+void CellState::CountCrash(const CrashedTask& crashed, AppliedChanges* changes) {
+  TaskState* task = MutableTask(crashed.task);
+  if (task == nullptr || task->phase == TaskPhase::kDone) return;
+  ++task->crashes;
+  if (crashed.starting != 0) ++task->starting_crashes;
+  GiveUpIfCrashing(crashed.task, changes);
+}
+
+void CellState::GiveUpIfCrashing(const TaskKey& key, AppliedChanges* changes) {
+  const TaskState* task = FindTask(key);
+  if (task == nullptr || !task->IsGivenUp()) return;
+  changes->given_up.push_back({key, task->crashes});
+  EndJob(&jobs_.at(key.step.job), JobPhase::kFailed, changes);
+}
+
 void CellState::ApplySubmit(const SubmitRecord& record, AppliedChanges* changes) {
   if (jobs_.contains(record.job)) return;
   Job& job = jobs_[record.job];
@@ -108,6 +174,7 @@
   task.phase = TaskPhase::kStarted;
   task.run = record.run;
   task.worker = record.worker;
+  if (task.IsInLastStarts()) ++task.last_starts;
   ++step->started;
   step->gang_run = std::max(step->gang_run, record.run);
   if (job.phase == JobPhase::kQueued) {
@@ -133,10 +200,12 @@
   --step->started;
   if (!record.checkpoint.empty()) task.checkpoint = record.checkpoint;
   const StepSpec& spec = it->second.spec.steps[record.task.step.step];
-  if (spec.Has(StepFlag::kLongRunning)) return;
-  if (record.end == RunEnd::kDone) CompleteTask(&it->second, record, changes);
-  if (record.end == RunEnd::kFailed) RecordTaskFailure(&it->second, record, changes);
-  if (record.end == RunEnd::kLost) RequeueIfNotBegun(&it->second);
+  if (!spec.Has(StepFlag::kLongRunning)) {
+    if (record.end == RunEnd::kDone) CompleteTask(&it->second, record, changes);
+    if (record.end == RunEnd::kFailed) RecordTaskFailure(&it->second, record, changes);
+    if (record.end == RunEnd::kLost) RequeueIfNotBegun(&it->second);
+  }
+  GiveUpIfCrashing(record.task, changes);
 }
 
 void CellState::RequeueIfNotBegun(Job* job) {
@@ -214,6 +283,10 @@
   return const_cast<StepState*>(std::as_const(*this).FindStep(key));
 }
 
+TaskState* CellState::MutableTask(const TaskKey& key) {
+  return const_cast<TaskState*>(std::as_const(*this).FindTask(key));
+}
+
 const StepState* CellState::FindStep(const StepKey& key) const {
   const auto it = jobs_.find(key.job);
   if (it == jobs_.end() || key.occurrence >= it->second.occurrences.size()) return nullptr;
--- a/src/job/cell_state.h
+++ b/src/job/cell_state.h
@@ -17,6 +17,23 @@
 enum class TaskPhase : std::uint8_t { kWaiting = 0, kStarted = 1, kDone = 2 };
 constexpr std::uint8_t MaxValue(TaskPhase /*type*/) { return 2; }
 
+/// A task is given up, and its job fails, when this many workers have crashed just after they had
+/// started it.
+constexpr std::uint32_t kMaxStartingCrashes = 3;
+/// After this many crashes at any time in its runs, a task starts at most kMaxLastStarts times
+/// more.
+constexpr std::uint32_t kCrashesToLastStarts = 3;
+constexpr std::uint32_t kMaxLastStarts = 2;
+
+/// A worker whose lease expired under a run of a task.
+struct SilentWorker {
+  WorkerIncarnation worker;
+  /// 1 if the run had only just started when the worker fell silent.
+  std::uint32_t starting = 0;
+
+  auto Fields() { return std::tie(worker, starting); }
+};
+
 /// Replicated state of a task.
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -29,7 +46,31 @@
   /// Saved progress that the next run resumes from.
   std::string checkpoint;
 
-  auto Fields() { return std::tie(phase, run, worker, failures, checkpoint); }
+  /// Number of workers that crashed while a run of the task may have been active on them, and of
+  /// those that had only just started it. Most tasks only share a worker with the one that crashes
+  /// it.
+  std::uint32_t crashes = 0;
+  std::uint32_t starting_crashes = 0;
+  /// Starts since kCrashesToLastStarts workers have crashed, or may have.
+  std::uint32_t last_starts = 0;
+  /// Workers whose lease expired under a run of the task and that have not answered since.
+  std::vector<SilentWorker> silent_workers;
+
+  /// Tells whether the task may only start kMaxLastStarts times more.
+  bool IsInLastStarts() const { return crashes + silent_workers.size() >= kCrashesToLastStarts; }
+  /// Tells whether the task has to wait until it is known whether its silent workers have crashed.
+  bool IsHeldBack() const { return IsInLastStarts() && last_starts >= kMaxLastStarts; }
+  /// Tells whether the task must not start any more, because workers crash under it. A run that is
+  /// active may still complete it.
+  bool IsGivenUp() const {
+    return phase == TaskPhase::kWaiting &&
+           (starting_crashes >= kMaxStartingCrashes ||
+            (crashes >= kCrashesToLastStarts && last_starts >= kMaxLastStarts));
+  }
+  auto Fields() {
+    return std::tie(phase, run, worker, failures, checkpoint, crashes, starting_crashes,
+                    last_starts, silent_workers);
+  }
 };
 
 /// Replicated state of a step of one occurrence.
@@ -105,6 +146,12 @@
   auto Fields() { return std::tie(id, queue, spec, accepted_at, phase, occurrences); }
 };
 
+/// A task that was given up because of the workers that crashed under it.
+struct GivenUpTask {
+  TaskKey task;
+  std::uint32_t crashes = 0;
+};
+
 /// Changes by one applied batch, for the leader.
 struct AppliedChanges {
   std::vector<JobId> accepted;
@@ -116,6 +163,8 @@
   std::vector<StartRecord> starts;
   /// Starts that were not applied, for example because the job was cancelled before.
   std::vector<StartRecord> stale_starts;
+  /// Tasks that were given up; their jobs are in `ended`.
+  std::vector<GivenUpTask> given_up;
   bool config_changed = false;
 };
 
@@ -141,6 +190,9 @@
   const std::map<RunKey, OpenRun>& open_runs() const { return open_runs_; }
   const TaskState* FindTask(const TaskKey& key) const;
   const StepState* FindStep(const StepKey& key) const;
+  /// Tells whether the lease of the incarnation expired under a run and the incarnation has neither
+  /// answered nor ended since.
+  bool IsSilent(const WorkerIncarnation& worker) const { return silent_tasks_.contains(worker); }
   /// Returns the number of accepted jobs of a queue, timed jobs excluded, of which no task has
   /// started.
   std::uint64_t PendingCount(const QueueId& queue) const;
@@ -151,18 +203,30 @@
   void ApplyEnd(const EndRecord& record, AppliedChanges* changes);
   void ApplyCancel(const CancelRecord& record, AppliedChanges* changes);
   void ApplyStart(const StartRecord& record, AppliedChanges* changes);
+  void ApplySilence(const SilenceRecord& record);
+  void ApplyCrash(const CrashRecord& record, AppliedChanges* changes);
+  /// Removes the notes that the lease of an incarnation expired. Returns the tasks that had one.
+  std::vector<CrashedTask> RemoveSilences(const WorkerIncarnation& worker);
+  /// Adds the silent workers of the tasks of a restored job to the index.
+  void IndexSilences(const Job& job);
+  void CountCrash(const CrashedTask& crashed, AppliedChanges* changes);
+  /// Fails the job if the task must not start any more.
+  void GiveUpIfCrashing(const TaskKey& key, AppliedChanges* changes);
   /// Returns a job to JobPhase::kQueued if all its runs were lost and may never have begun.
   void RequeueIfNotBegun(Job* job);
   void CompleteTask(Job* job, const EndRecord& record, AppliedChanges* changes);
   void RecordTaskFailure(Job* job, const EndRecord& record, AppliedChanges* changes);
   void EndJob(Job* job, JobPhase phase, AppliedChanges* changes);
   StepState* MutableStep(const StepKey& key);
+  TaskState* MutableTask(const TaskKey& key);
 
   std::unordered_map<JobId, Job> jobs_;
   std::unordered_set<JobId> open_jobs_;
   std::unordered_map<QueueId, std::uint64_t> pending_;
   std::map<RunKey, OpenRun> open_runs_;
   std::map<WorkerId, WorkerReport> registered_workers_;
+  /// Index of TaskState::silent_workers. May also hold tasks of jobs that have ended.
+  std::map<WorkerIncarnation, std::vector<TaskKey>> silent_tasks_;
   CellConfig config_;
 };
 
--- a/src/job/cell_state_codec.cpp
+++ b/src/job/cell_state_codec.cpp
@@ -42,6 +42,7 @@
   pending_.clear();
   open_runs_.clear();
   registered_workers_.clear();
+  silent_tasks_.clear();
   for (const WorkerReport& it : decoded->registered_workers) {
     registered_workers_[it.incarnation.worker] = it;
   }
@@ -50,6 +51,7 @@
     if (job.phase == JobPhase::kQueued && !job.spec.IsTimed()) ++pending_[job.queue];
     if (!job.HasEnded()) open_jobs_.insert(job.id);
     const JobId id = job.id;
+    IndexSilences(job);
     jobs_.emplace(id, std::move(job));
   }
   return {};
--- a/src/job/job_records.h
+++ b/src/job/job_records.h
@@ -61,6 +61,35 @@
   auto Fields() { return std::tie(task, run, end, checkpoint); }
 };
 
+/// Notes that the lease of a worker expired under a run of a task. The worker may have crashed, or
+/// be unreachable.
+struct SilenceRecord {
+  TaskKey task;
+  WorkerIncarnation worker;
+  /// 1 if the run had only just started when the worker fell silent.
+  std::uint32_t starting = 0;
+
+  auto Fields() { return std::tie(task, worker, starting); }
+};
+
+/// A task of which a run may have been active on a worker that crashed.
+struct CrashedTask {
+  TaskKey task;
+  /// 1 if the run had only just started when the worker fell silent.
+  std::uint32_t starting = 0;
+
+  auto Fields() { return std::tie(task, starting); }
+};
+
+/// Notes that an incarnation of a worker ended without leaving, and under which tasks.
+struct CrashRecord {
+  WorkerIncarnation worker;
+  /// Does not name the tasks whose lease expired before, which are known to the state.
+  std::vector<CrashedTask> tasks;
+
+  auto Fields() { return std::tie(worker, tasks); }
+};
+
 /// Cancels a job.
 struct CancelRecord {
   JobId job;
@@ -75,8 +104,8 @@
   auto Fields() { return std::tie(jobs); }
 };
 
-/// One entry of the replicated log. It combines many small records, which are applied in the order
-/// of the members.
+/// One entry of the replicated log. It combines many small records, which CellState::Apply()
+/// applies in a fixed order.
 struct CommandBatch {
   /// Configuration that comes into force if its version is the highest; version 0 means none.
   CellConfig config;
@@ -94,15 +123,20 @@
   std::uint64_t batch_number = 0;
   /// Random number of the proposing process. Unique together with `batch_number`.
   std::uint64_t proposer = 0;
+  std::vector<SilenceRecord> silences;
+  /// Incarnations that answered again after their lease had expired.
+  std::vector<WorkerIncarnation> returned_incarnations;
+  std::vector<CrashRecord> crashes;
 
   auto Fields() {
     return std::tie(config, reports, ended_incarnations, submits, ends, cancels, starts, purge,
-                    batch_number, proposer);
+                    batch_number, proposer, silences, returned_incarnations, crashes);
   }
   bool IsEmpty() const {
     return config.version == ConfigVersion() && reports.empty() && ended_incarnations.empty() &&
            submits.empty() && ends.empty() && cancels.empty() && starts.empty() &&
-           purge.jobs.empty();
+           purge.jobs.empty() && silences.empty() && returned_incarnations.empty() &&
+           crashes.empty();
   }
 };
 
--- a/tests/job/cell_state_test.cpp
+++ b/tests/job/cell_state_test.cpp
@@ -42,6 +42,18 @@
   CPPUNIT_TEST(OpenJobs_EndedJob_IsRemoved);
   CPPUNIT_TEST(Purge_RunningJob_IsKept);
   CPPUNIT_TEST(Snapshot_Restored_GivesSameBytes);
+  CPPUNIT_TEST(Crash_ThirdWorkerUnderOneTask_FailsJob);
+  CPPUNIT_TEST(Crash_UnderDifferentTasks_FailsNothing);
+  CPPUNIT_TEST(Crash_UnderDoneTask_FailsNothing);
+  CPPUNIT_TEST(Crash_NamedTwiceInOneRecord_CountsOnce);
+  CPPUNIT_TEST(Silence_WorkerCrashed_Counts);
+  CPPUNIT_TEST(Silence_WorkerAnswersAgain_IsForgotten);
+  CPPUNIT_TEST(Silence_WorkerLeft_IsForgotten);
+  CPPUNIT_TEST(Silence_OfThreeWorkers_AllowsTwoMoreStarts);
+  CPPUNIT_TEST(Crash_LongAfterStarts_AllowsTwoMoreStarts);
+  CPPUNIT_TEST(Crash_LastStartsEndOtherwise_FailsJob);
+  CPPUNIT_TEST(Crash_LastStartIsDone_CompletesJob);
+  CPPUNIT_TEST(Snapshot_CrashesAndSilences_AreRestored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -245,7 +257,158 @@
     CPPUNIT_ASSERT(!other.Restore("damaged").has_value());
   }
 
+  // Guards against a task that takes down one worker after the other.
+  void Crash_ThirdWorkerUnderOneTask_FailsJob() {
+    Submit({Step(2)});
+    Crash(1, {Task(0, 0)});
+    Crash(2, {Task(0, 0)});
+    CPPUNIT_ASSERT(!book_.Find(kJob)->HasEnded());
+    const AppliedChanges changes = Crash(3, {Task(0, 0)});
+    CPPUNIT_ASSERT(JobPhase::kFailed == book_.Find(kJob)->phase);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.ended.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.given_up.size());
+    CPPUNIT_ASSERT(changes.given_up[0].task == Task(0, 0));
+  }
+
+  // Guards against giving up wide jobs because of unrelated crashes.
+  void Crash_UnderDifferentTasks_FailsNothing() {
+    Submit({Step(4, static_cast<std::uint32_t>(StepFlag::kGang))});
+    for (std::uint32_t i = 0; i < 4; ++i) Crash(i, {Task(0, i)});
+    Crash(4, {Task(0, 0), Task(0, 1), Task(0, 2)});
+    CPPUNIT_ASSERT(!book_.Find(kJob)->HasEnded());
+  }
+
+  void Crash_UnderDoneTask_FailsNothing() {
+    Submit({Step(1), Step(1)});
+    Start(Task(0, 0), 1);
+    End(Task(0, 0), 1, RunEnd::kDone);
+    for (std::int64_t i = 0; i < 4; ++i) Crash(i, {Task(0, 0)});
+    CPPUNIT_ASSERT(!book_.Find(kJob)->HasEnded());
+  }
+
+  // Guards against counting one crash for two runs of a task, the first of which was taken for
+  // lost.
+  void Crash_NamedTwiceInOneRecord_CountsOnce() {
+    Submit({Step(1)});
+    Silence(1, Task(0, 0));
+    Crash(1, {Task(0, 0), Task(0, 0)});
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, book_.FindTask(Task(0, 0))->crashes);
+  }
+
+  // Guards against crashes that go unnoticed because the lease expired before the worker returned.
+  void Silence_WorkerCrashed_Counts() {
+    Submit({Step(1)});
+    for (std::int64_t i = 0; i < 3; ++i) {
+      Silence(i, Task(0, 0));
+      Crash(i, {});
+    }
+    CPPUNIT_ASSERT(JobPhase::kFailed == book_.Find(kJob)->phase);
+  }
+
+  void Silence_WorkerAnswersAgain_IsForgotten() {
+    Submit({Step(1)});
+    Silence(1, Task(0, 0));
+    CPPUNIT_ASSERT(book_.IsSilent(Incarnation(1)));
+    CommandBatch batch;
+    batch.returned_incarnations.push_back(Incarnation(1));
+    book_.Apply(batch);
+    CPPUNIT_ASSERT(!book_.IsSilent(Incarnation(1)));
+    Crash(1, {});
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, book_.FindTask(Task(0, 0))->crashes);
+  }
+
+  void Silence_WorkerLeft_IsForgotten() {
+    Submit({Step(1)});
+    Silence(1, Task(0, 0));
+    CommandBatch batch;
+    batch.ended_incarnations.push_back(Incarnation(1));
+    book_.Apply(batch);
+    CPPUNIT_ASSERT(book_.FindTask(Task(0, 0))->silent_workers.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, book_.FindTask(Task(0, 0))->crashes);
+  }
+
+  // Guards against more starts than allowed while it is not known yet that the workers crashed.
+  void Silence_OfThreeWorkers_AllowsTwoMoreStarts() {
+    Submit({Step(1)});
+    Crash(1, {Task(0, 0)});
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+      CPPUNIT_ASSERT(!book_.FindTask(Task(0, 0))->IsHeldBack());
+      Start(Task(0, 0), i);
+      Silence(static_cast<std::int64_t>(i + 1), Task(0, 0));
+      End(Task(0, 0), i, RunEnd::kLost);
+    }
+    CPPUNIT_ASSERT(book_.FindTask(Task(0, 0))->IsHeldBack());
+    CPPUNIT_ASSERT(!book_.Find(kJob)->HasEnded());
+  }
+
+  // Guards against giving up a task because of three crashes that other tasks have caused.
+  void Crash_LongAfterStarts_AllowsTwoMoreStarts() {
+    Submit({Step(1)});
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+      CPPUNIT_ASSERT(!book_.Find(kJob)->HasEnded());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Start(Task(0, 0), i).starts.size());
+      Crash(static_cast<std::int64_t>(i), {Task(0, 0)}, false);
+      End(Task(0, 0), i, RunEnd::kLost);
+    }
+    CPPUNIT_ASSERT(JobPhase::kFailed == book_.Find(kJob)->phase);
+  }
+
+  // Guards against more starts than allowed because some runs end in another way than by a crash.
+  void Crash_LastStartsEndOtherwise_FailsJob() {
+    Submit({Step(1)});
+    for (std::int64_t i = 1; i <= 3; ++i) Crash(i, {Task(0, 0)}, false);
+    Start(Task(0, 0), 1);
+    End(Task(0, 0), 1, RunEnd::kStopped);
+    CPPUNIT_ASSERT(!book_.Find(kJob)->HasEnded());
+    Start(Task(0, 0), 2);
+    End(Task(0, 0), 2, RunEnd::kStopped);
+    CPPUNIT_ASSERT(JobPhase::kFailed == book_.Find(kJob)->phase);
+  }
+
+  void Crash_LastStartIsDone_CompletesJob() {
+    Submit({Step(1)});
+    for (std::int64_t i = 1; i <= 3; ++i) Crash(i, {Task(0, 0)}, false);
+    Start(Task(0, 0), 1);
+    End(Task(0, 0), 1, RunEnd::kLost);
+    Start(Task(0, 0), 2);
+    End(Task(0, 0), 2, RunEnd::kDone);
+    CPPUNIT_ASSERT(JobPhase::kComplete == book_.Find(kJob)->phase);
+  }
+
+  // Guards against crashes that a replica forgets when it restarts.
+  void Snapshot_CrashesAndSilences_AreRestored() {
+    Submit({Step(1)});
+    Crash(1, {Task(0, 0)});
+    Crash(2, {Task(0, 0)});
+    Silence(3, Task(0, 0));
+    CellState other;
+    CPPUNIT_ASSERT(other.Restore(book_.TakeSnapshot()).has_value());
+    CPPUNIT_ASSERT(other.IsSilent(Incarnation(3)));
+    CommandBatch batch;
+    batch.crashes.push_back({Incarnation(3), {}});
+    other.Apply(batch);
+    CPPUNIT_ASSERT(JobPhase::kFailed == other.Find(kJob)->phase);
+  }
+
  private:
+  static WorkerIncarnation Incarnation(std::int64_t started_at) {
+    return {WorkerId("w"), UnixMillis(started_at)};
+  }
+  /// Records a crash just after the start of the tasks, or later.
+  AppliedChanges Crash(std::int64_t started_at, const std::vector<TaskKey>& tasks,
+                       bool starting = true) {
+    CommandBatch batch;
+    batch.crashes.push_back({Incarnation(started_at), {}});
+    for (const TaskKey& it : tasks) {
+      batch.crashes[0].tasks.push_back({it, starting ? 1U : 0U});
+    }
+    return book_.Apply(batch);
+  }
+  void Silence(std::int64_t started_at, const TaskKey& task) {
+    CommandBatch batch;
+    batch.silences.push_back({task, Incarnation(started_at), 1});
+    book_.Apply(batch);
+  }
   void Submit(std::vector<StepSpec> steps) {
     CommandBatch batch;
     JobSpec spec;
