Add tasks that crash their workers and changing capacities to the soak

The oracle reports a third start after three crashes (BUDGET), and accepts a failed job if two workers crashed under one of its tasks, as the platform's documentation says. Both come from numbers of their own, so that a seed still plays the faults that it played before.

The changed files compile; the soak was neither linked nor run with this change.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -111,6 +111,8 @@
                      static_cast<std::int64_t>(random_() % queue_kind.mean_run_time_ms));
     step.depends_on_previous = i > 0;
     step.always_fails = i == 0 && random_() % kPermille < setup_.always_failing_permille;
+    // Not drawn, so that a seed still submits the jobs that it submitted before there were such.
+    step.deadly = i == 0 && std::hash<std::string>{}(id) % kPermille < setup_.deadly_permille;
     json body{{"count", step.task_count},
               {"cpu", step.cpu},
               {"mem-mb", step.memory_mb},
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -24,6 +24,8 @@
   /// Share of the jobs that are cancelled, and of those whose tasks always fail, in thousandths.
   std::uint32_t cancelled_permille = 50;
   std::uint32_t always_failing_permille = 20;
+  /// Share of the jobs with a task that crashes its workers, in thousandths.
+  std::uint32_t deadly_permille = 10;
   /// Limit on the tasks of a step.
   std::uint32_t max_step_tasks = 6;
 };
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -31,6 +31,7 @@
     : io_(io),
       random_(seed),
       series_random_(~seed),
+      resize_random_(seed + 1),
       processes_(processes),
       platform_(platform),
       operator_(config_operator),
@@ -68,6 +69,20 @@
 void FaultPlan::Start() {
   InjectNextFault();
   InjectNextSeries();
+  ResizeNextWorker();
+}
+
+// The capacity of workers changes all the while, from random numbers of its own.
+void FaultPlan::ResizeNextWorker() {
+  if (!active_) return;
+  const std::size_t number = resize_random_() % platform_.fleet().size();
+  const std::int64_t full = platform_.full_worker_cpu();
+  const bool is_full = platform_.fleet().worker(number).cpu == full;
+  const std::int64_t cpu =
+      is_full ? full / (2 + static_cast<std::int64_t>(resize_random_() % 3)) : full;
+  LogFault("capacity of worker " + std::to_string(number) + ": " + std::to_string(cpu));
+  platform_.ResizeWorker(number, cpu);
+  RunAfter(io_, milliseconds(200 + resize_random_() % 1000), [this] { ResizeNextWorker(); });
 }
 
 // Series draw from random numbers of their own, so that they do not change which single faults a
@@ -242,6 +257,9 @@
 void FaultPlan::Heal() {
   active_ = false;
   platform_.SetDelayedOrders(0);
+  for (std::size_t i = 0; i < platform_.fleet().size(); ++i) {
+    platform_.ResizeWorker(i, platform_.full_worker_cpu());
+  }
   for (const auto& it : proxies_) it->Heal();
   for (std::size_t i = 0; i < processes_.size(); ++i) {
     processes_.Resume(i);
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -31,6 +31,7 @@
  private:
   void InjectNextFault();
   void InjectNextSeries();
+  void ResizeNextWorker();
   void KillProcess();
   void PauseProcess();
   void RestartProcess();
@@ -57,6 +58,7 @@
   boost::asio::io_context& io_;
   std::mt19937 random_;
   std::mt19937 series_random_;
+  std::mt19937 resize_random_;
   Processes& processes_;
   StandinPlatform& platform_;
   Operator& operator_;
--- a/tests/standin_platform/emulated_fleet.h
+++ b/tests/standin_platform/emulated_fleet.h
@@ -37,6 +37,8 @@
 /// A run that an emulated worker holds.
 struct EmulatedRun {
   SubmittedStep step;
+  /// When the order to start the run was carried out.
+  SteadyTime arrived;
   /// When the run began to wait for its gang, or for the end of its stop.
   SteadyTime waiting_since;
   SteadyTime started;
@@ -63,6 +65,9 @@
   SteadyTime clock_start;
   std::int64_t cpu = 0;
   std::int64_t memory_mb = 0;
+  /// CPU capacity before the last change, and when it changed.
+  std::int64_t previous_cpu = 0;
+  SteadyTime resized_at;
   bool up = true;
   /// Injected faults: all runs fail, no run makes progress, or runs take `slowness` times as long.
   bool fails_all_runs = false;
@@ -99,15 +104,23 @@
   void EndDueRuns(SteadyTime now);
   /// Ends all runs of the worker and clears its state, as if the VM were lost.
   void CrashWorker(std::size_t number);
+  /// The same for a worker that leaves as planned.
+  void EndWorker(std::size_t number);
+  /// Changes the CPU capacity of the worker. Starts may exceed a smaller one until the scheduler
+  /// must know of it.
+  void ResizeWorker(std::size_t number, std::int64_t cpu, SteadyTime now);
   /// Starts the next incarnation of the worker.
   void RestartWorker(std::size_t number, SteadyTime now);
 
   /// Called with the worker's number when a run is added to its list of finished runs.
   std::function<void(std::size_t)> on_run_end;
+  /// Called with the worker's number when a deadly run is due to crash it.
+  std::function<void(std::size_t)> on_deadly_run;
 
  private:
   using RunId = std::pair<TaskName, std::uint64_t>;
 
+  static bool HasDeadlyRun(const EmulatedWorker& worker, SteadyTime now);
   static std::int64_t ClockMs(const EmulatedWorker& worker, SteadyTime now);
   static void ExtendLease(EmulatedWorker* worker, std::int64_t lease_end, SteadyTime now);
   void StartGangIfComplete(const TaskName& member, std::uint64_t run, SteadyTime now);
--- a/tests/standin_platform/run_oracle.cpp
+++ b/tests/standin_platform/run_oracle.cpp
@@ -4,6 +4,16 @@
 #include <utility>
 
 namespace parsleyline::testing {
+namespace {
+
+// From the platform's documentation: a job may fail when this many workers have crashed under one
+// of its tasks.
+constexpr std::uint32_t kCrashesToGiveUp = 2;
+// A deadly task must not start kMaxStartsAfterCrashes times after this many crashes.
+constexpr std::uint32_t kMaxCrashes = 3;
+constexpr std::uint32_t kMaxStartsAfterCrashes = 3;
+
+}  // namespace
 
 std::ostream& operator<<(std::ostream& out, const TaskName& task) {
   return out << task.job << '.' << task.step << '.' << task.index;
@@ -52,6 +62,7 @@
     std::uint32_t failures = it->second.failures;
     if (gang) failures = gang_failures[it->first.step] += failures;
     if (failures >= submitted->second.max_attempts) return;
+    if (it->second.crashes >= kCrashesToGiveUp) return;
   }
   RecordViolation("LOST", job + " is reported as failed with attempts left");
 }
@@ -96,6 +107,13 @@
   if (state.acknowledged_failures >= submitted->second.max_attempts) {
     RecordViolation("BUDGET", name.str() + " started after all attempts had failed");
   }
+  const bool deadly = submitted->second.steps[task.step].deadly && task.index == 0;
+  if (deadly && state.crashes >= kMaxCrashes &&
+      ++state.starts_after_crashes == kMaxStartsAfterCrashes) {
+    RecordViolation("BUDGET", name.str() + " started " + std::to_string(kMaxStartsAfterCrashes) +
+                                  " times more after " + std::to_string(kMaxCrashes) +
+                                  " workers had crashed under its task");
+  }
   state.running.insert(run);
 }
 
@@ -106,6 +124,8 @@
   if (failed) ++state.failures;
 }
 
+void RunOracle::OnWorkerCrashed(const TaskName& task) { ++tasks_[task].crashes; }
+
 void RunOracle::OnEndAcknowledged(const TaskName& task, bool done, bool failed) {
   Task& state = tasks_[task];
   state.done_acknowledged = state.done_acknowledged || done;
--- a/tests/standin_platform/run_oracle.h
+++ b/tests/standin_platform/run_oracle.h
@@ -35,6 +35,8 @@
   bool gang = false;
   /// Every run of the step's tasks fails.
   bool always_fails = false;
+  /// Every run of the step's first task crashes its worker.
+  bool deadly = false;
 };
 
 /// A job as the caller submitted it.
@@ -62,6 +64,8 @@
   void OnRunStarted(const TaskName& task, std::uint64_t run, const std::string& payload);
   /// A run has ended. `done` is true if the task completed its work.
   void OnRunEnded(const TaskName& task, std::uint64_t run, bool done, bool failed);
+  /// A worker has crashed under an active run of the task.
+  void OnWorkerCrashed(const TaskName& task);
   /// The scheduler has acknowledged the end of a run, so the worker may remove it from its list.
   void OnEndAcknowledged(const TaskName& task, bool done, bool failed);
 
@@ -84,6 +88,9 @@
     /// The same, counting only ends that the scheduler has acknowledged.
     std::uint32_t acknowledged_failures = 0;
     bool done_acknowledged = false;
+    /// Workers that crashed under the task, and starts since there were too many of them.
+    std::uint32_t crashes = 0;
+    std::uint32_t starts_after_crashes = 0;
   };
 
   bool IsStepDone(const std::string& job, std::uint32_t step) const;
--- a/tests/standin_platform/standin_platform.cpp
+++ b/tests/standin_platform/standin_platform.cpp
@@ -22,6 +22,10 @@
 // Delayed orders are carried out after the minimum and a random part of the span, in ms.
 constexpr std::uint32_t kMinOrderDelayMs = 500;
 constexpr std::uint32_t kOrderDelaySpanMs = 4000;
+// A worker that a deadly task has crashed is back after the minimum and a random part of the span,
+// in ms. Some are back only after their lease has expired.
+constexpr std::uint32_t kMinRestartMs = 500;
+constexpr std::uint32_t kRestartSpanMs = 6000;
 constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
 constexpr int kNotFound = 404;
@@ -76,6 +80,11 @@
     fleet_.worker(i).slowness = i % 3 == 0 ? 1.3 : 1;
     ListenForOrders(i);
   }
+  fleet_.on_deadly_run = [this](std::size_t number) {
+    CrashWorker(number);
+    RunAfter(io_, milliseconds(kMinRestartMs + random_() % kRestartSpanMs),
+             [this, number] { RestartWorker(number); });
+  };
   fleet_.on_run_end = [this](std::size_t number) { RespondToHold(number); };
   advisor_server_ = std::make_unique<http::Server>(
       io_, [this](const http::Request& request, const http::ResponseCallback& respond) {
@@ -295,13 +304,21 @@
   RunAfter(io_, setup_.advisor_delay, [respond, response] { respond(response); });
 }
 
-void StandinPlatform::CrashWorker(std::size_t number) {
+void StandinPlatform::ResetEndpoint(std::size_t number) {
   endpoints_[number].pending_hold = nullptr;
   endpoints_[number].draining = false;
   endpoints_[number].sequence = 0;
+}
+
+void StandinPlatform::CrashWorker(std::size_t number) {
+  ResetEndpoint(number);
   fleet_.CrashWorker(number);
 }
 
+void StandinPlatform::ResizeWorker(std::size_t number, std::int64_t cpu) {
+  fleet_.ResizeWorker(number, cpu, Now());
+}
+
 void StandinPlatform::RestartWorker(std::size_t number) { fleet_.RestartWorker(number, Now()); }
 
 void StandinPlatform::DrainWorker(std::size_t number, milliseconds patience) {
@@ -310,7 +327,8 @@
   RunAfter(io_, patience, [this, number, patience] {
     if (!endpoints_[number].draining) return;
     SendToControl(number, "DELETE", "");
-    CrashWorker(number);
+    ResetEndpoint(number);
+    fleet_.EndWorker(number);
     RunAfter(io_, patience, [this, number] { RestartWorker(number); });
   });
 }
--- a/tests/standin_platform/standin_platform.h
+++ b/tests/standin_platform/standin_platform.h
@@ -40,6 +40,7 @@
 
   void Start();
   EmulatedFleet& fleet() { return fleet_; }
+  std::int64_t full_worker_cpu() const { return setup_.worker_cpu; }
   /// Address of the advisor, as ip:port.
   std::string advisor_address() const { return advisor_address_; }
 
@@ -51,6 +52,8 @@
   /// Ends the incarnation of a worker; RestartWorker starts the next one.
   void CrashWorker(std::size_t number);
   void RestartWorker(std::size_t number);
+  /// Changes the CPU capacity of a worker, which its next report contains.
+  void ResizeWorker(std::size_t number, std::int64_t cpu);
   /// Drains a worker: after `patience` it deregisters and ends, and after as long again its next
   /// incarnation starts.
   void DrainWorker(std::size_t number, milliseconds patience);
@@ -83,6 +86,7 @@
   void RespondToHold(std::size_t number);
   http::Response HoldResponse(std::size_t number);
   static http::Response OrderResponse(const OrderReply& answer);
+  void ResetEndpoint(std::size_t number);
   void SendReport(std::size_t number);
   void SendToControl(std::size_t number, const std::string& method, std::string body);
   void Tick();
