--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -32,6 +32,29 @@
 // Clocks of VMs differ by less than this. A start time later than that would outdate all later
 // incarnations of the worker.
 constexpr Milliseconds kMaxClockDifference = std::chrono::hours(24);
+// A run had only just started if it was younger than this when its worker fell silent.
+constexpr Milliseconds kStartingTime{500};
+// A long-running task outlives many workers. Only crashes this soon after its start count for it.
+constexpr Milliseconds kLongRunningStartTime{10'000};
+
+// Tells whether a run may have been active on a worker that has ended by `now`, and may have
+// crashed it.
+bool MayHaveCrashed(const Run& run, const Worker& worker, TimePoint now) {
+  if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kRecordingEnd) return false;
+  const bool is_long_running =
+      (run.flags & static_cast<std::uint32_t>(job::StepFlag::kLongRunning)) != 0;
+  return !is_long_running || worker.RunningUntil(now) - run.ordered_at < kLongRunningStartTime;
+}
+
+// Returns 1 if a run had only just started when its worker fell silent, otherwise 0.
+std::uint32_t HadJustStarted(const Run& run, const Worker& worker, TimePoint now) {
+  return worker.RunningUntil(now) - run.ordered_at < kStartingTime ? 1 : 0;
+}
+
+// Tells whether a worker that was replaced had left as planned although it did not say so.
+bool HasDrained(const Worker& worker, TimePoint now) {
+  return worker.draining && now >= worker.drain_end;
+}
 
 }  // namespace
 
@@ -47,6 +70,8 @@
   run.phase = RunPhase::kSent;
   run.ordered_at = clock_.Now();
   worker_by_run_[key] = worker->id();
+  const job::TaskState* task = cell_state_.FindTask(open.task);
+  if (task != nullptr && task->crashes > 0) suspects_.insert(key);
   const job::Job* job = cell_state_.Find(open.task.step.job);
   if (job == nullptr || job->HasEnded()) RequestStop(&run);
 }
@@ -62,8 +87,11 @@
   const Worker* previous = roster_.Find(report.incarnation.worker);
   const bool known = previous != nullptr && previous->report.incarnation == report.incarnation;
   const bool was_draining = known && previous->draining;
+  const Resources last_capacity = known ? previous->report.capacity : Resources();
   WorkerRoster::ReportResult result = roster_.ApplyReport(report, clock_.Now());
-  for (const Worker& it : result.ended_incarnations) RecordIncarnationEnd(it, "replaced");
+  for (const Worker& it : result.ended_incarnations) {
+    RecordIncarnationEnd(it, "replaced", !HasDrained(it, clock_.Now()));
+  }
   if (result.worker == nullptr) {
     Event("report_outdated", Severity::kWarning).With("worker", report.incarnation.worker);
     return done(ResultCode::kOk);
@@ -71,13 +99,19 @@
   if (result.worker->draining && !was_draining) {
     result.worker->drain_end = clock_.Now() + report.drain_remaining;
   }
-  if (known && was_draining == result.worker->draining) return done(ResultCode::kOk);
+  // A new leader starts from the recorded capacity until the worker reports to it.
+  const bool same_capacity = result.worker->report.capacity == last_capacity;
+  if (known && was_draining == result.worker->draining && same_capacity) {
+    return done(ResultCode::kOk);
+  }
   Event("worker_noted")
       .With("worker", report.incarnation.worker)
       .With("born", report.incarnation.started_at)
       .With("address", report.address)
       .With("draining", result.worker->draining ? "yes" : "no")
-      .With("drain_remaining_ms", report.drain_remaining.count());
+      .With("drain_remaining_ms", report.drain_remaining.count())
+      .With("cpu", result.worker->report.capacity.cpu.count())
+      .With("memory_mb", result.worker->report.capacity.memory.count());
   next_batch_.reports.push_back(result.worker->report);
   CallWhenDurable(std::move(done));
 }
@@ -86,24 +120,35 @@
   if (!is_leader_) return done(ResultCode::kNotLeader);
   auto worker = roster_.Remove(id);
   if (!worker) return done(ResultCode::kOk);
-  RecordIncarnationEnd(*worker, "left");
+  RecordIncarnationEnd(*worker, "left", false);
   CallWhenDurable(std::move(done));
 }
 
-void Coordinator::RecordIncarnationEnd(const Worker& worker, const char* reason) {
+void Coordinator::RecordIncarnationEnd(const Worker& worker, const char* reason, bool crashed) {
   Event("worker_lifetime_ended")
       .With("worker", worker.id())
       .With("born", worker.report.incarnation.started_at)
       .With("reason", reason)
       .With("runs", worker.runs.size());
   next_batch_.ended_incarnations.push_back(worker.report.incarnation);
+  const TimePoint now = clock_.Now();
+  job::CrashRecord crash{worker.report.incarnation, {}};
   for (const auto& [key, run] : worker.runs) {
+    if (crashed && MayHaveCrashed(run, worker, now)) {
+      Event("worker_crashed", Severity::kWarning)
+          .With("worker", worker.id())
+          .With("run", key.task)
+          .With("number", key.run)
+          .With("age_ms", (worker.RunningUntil(now) - run.ordered_at) / Milliseconds(1));
+      crash.tasks.push_back({key.task, HadJustStarted(run, worker, now)});
+    }
     worker_by_run_.erase(key);
     pending_starts_.erase(key);
     // This end may be applied before the record of a start that is only proposed. SendStart() then
     // records that run as lost.
     next_batch_.ends.push_back({key.task, key.run, job::RunEnd::kLost, run.checkpoint});
   }
+  if (crashed) next_batch_.crashes.push_back(std::move(crash));
   outbox_.RequestSchedulingPass();
 }
 
@@ -165,6 +210,11 @@
     std::size_t lost = 0;
     for (auto& [key, run] : worker.runs) {
       if (run.phase == RunPhase::kRecordingEnd || run.phase == RunPhase::kProposed) continue;
+      if (MayHaveCrashed(run, worker, now)) {
+        next_batch_.silences.push_back(
+            {key.task, worker.report.incarnation, HadJustStarted(run, worker, now)});
+        worker.lease_expired_under_run = true;
+      }
       MarkLost(&run, "lease_lapsed");
       ++lost;
     }
@@ -174,11 +224,10 @@
           .With("runs", lost)
           .With("silent_ms", (now - worker.last_hold_reply) / Milliseconds(1));
     }
-    const bool is_gone =
-        now - std::max(worker.last_report, worker.last_hold_reply) > kSilentWorkerRetention;
+    const bool is_gone = now - worker.LastSeen() > kSilentWorkerRetention;
     if (is_gone && worker.runs.empty()) silent.push_back(id);
   }
-  for (const WorkerId& id : silent) RecordIncarnationEnd(*roster_.Remove(id), "silent");
+  for (const WorkerId& id : silent) RecordIncarnationEnd(*roster_.Remove(id), "silent", false);
 }
 
 Run* Coordinator::FindRun(const job::RunKey& key, Worker** worker) {
@@ -207,7 +256,8 @@
     next_batch_.ends.push_back({record.task, record.run, job::RunEnd::kLost, {}});
     return;
   }
-  if (run->stop_requested || worker->draining) {
+  // The worker may have reported a smaller capacity while the record was being committed.
+  if (run->stop_requested || worker->draining || !worker->CanHold(run->demand)) {
     run->phase = RunPhase::kSent;
     pending_starts_.erase(pending);
     MarkLost(run, "not_sent");
@@ -326,6 +376,7 @@
                                  reply.started_at != worker->report.incarnation.started_at;
   if (reply.outcome != OrderOutcome::kAccepted || other_incarnation) {
     if (worker->unanswered_holds++ == 0) {
+      worker->silent_since = now;
       Event("worker_silent", Severity::kWarning)
           .With("worker", worker->id())
           .With("outcome", other_incarnation ? "other_lifetime" : Name(reply.outcome));
@@ -334,6 +385,9 @@
     return;
   }
   worker->lease_clock.RecordReading(reply.clock, now);
+  if (std::exchange(worker->lease_expired_under_run, false)) {
+    next_batch_.returned_incarnations.push_back(worker->report.incarnation);
+  }
   worker->unanswered_holds = 0;
   worker->last_hold_reply = now;
   worker->next_hold = now;
--- a/src/job/cell_state_codec.cpp
+++ b/src/job/cell_state_codec.cpp
@@ -46,6 +46,7 @@
   registered_workers_.clear();
   removed_queues_.clear();
   for (QueueSettings& it : decoded->removed_queues) removed_queues_[it.id] = std::move(it);
+  silent_tasks_.clear();
   for (const WorkerReport& it : decoded->registered_workers) {
     registered_workers_[it.incarnation.worker] = it;
   }
@@ -54,6 +55,7 @@
     if (job.phase == JobPhase::kQueued && !job.spec.IsTimed()) ++pending_[job.queue];
     if (!job.HasEnded()) open_jobs_.insert(job.id);
     const JobId id = job.id;
+    IndexSilences(job);
     jobs_.emplace(id, std::move(job));
   }
   return {};
--- a/tests/dispatch/cell_simulation.cpp
+++ b/tests/dispatch/cell_simulation.cpp
@@ -118,6 +118,7 @@
   for (std::size_t i = 0; i < setup_.workers; ++i) {
     fleet_.AddWorker(kWorkerMillicores, kWorkerMegabytes, Now());
   }
+  unix_start_ms_ = fleet_.worker(0).started_at;
   fleet_.on_run_end = [this](std::size_t worker) {
     if (pending_holds_.contains(worker)) {
       After(Milliseconds(0), [this, worker] { AnswerHold(worker); });
@@ -128,7 +129,7 @@
 CellSimulation::~CellSimulation() = default;
 
 job::UnixMillis CellSimulation::UnixNow() const {
-  return job::UnixMillis(Now().time_since_epoch() / Milliseconds(1));
+  return job::UnixMillis(unix_start_ms_ + (Now() - TimePoint(Duration(kStart))) / Milliseconds(1));
 }
 
 void CellSimulation::After(Milliseconds delay, std::function<void()> action) {
--- a/tests/dispatch/cell_simulation.h
+++ b/tests/dispatch/cell_simulation.h
@@ -127,6 +127,8 @@
   testing::EmulatedFleet fleet_;
   std::priority_queue<TimedEvent, std::vector<TimedEvent>, std::greater<>> events_;
   std::uint64_t event_number_ = 0;
+  /// Wall-clock time at the start. The fleet numbers its incarnations from there.
+  std::int64_t unix_start_ms_ = 0;
   std::vector<std::unique_ptr<Replica>> replicas_;
   /// Committed entries.
   std::vector<job::CommandBatch> log_;
