Let a replica stop whose log could not be opened

A process that got SIGTERM while its disk was full ended with a segmentation fault instead of stopping.

RaftGroup::Start() creates the node after it has opened the log, and CellCore tries again every 500 ms while the disk refuses the truncation of a torn record. RaftGroup::Stop() read the role of the node that did not exist.

cell_core_test runs whole core processes on loopback with disks that refuse writes for a time. The file system of a core process can be replaced for that.

--- a/src/cell/cell_core.cpp
+++ b/src/cell/cell_core.cpp
@@ -99,6 +99,7 @@
   options.node_options.raft.lost_replicas = raft::LostReplicaPolicy::kAdmitNew;
   options.node_options.initial_voters = settings_.seeds;
   options.node_options.may_bootstrap = settings_.bootstrap;
+  options.file_system = settings_.file_system;
   options.on_failure = [this](const Error& error) { OnStorageFailure(error); };
   return std::make_unique<raft::RaftGroup>(io_, std::move(options), *this, peers_);
 }
--- a/src/cell/cell_core.h
+++ b/src/cell/cell_core.h
@@ -26,6 +26,8 @@
   std::vector<NodeId> seeds;
   /// True only when the whole cell starts for the first time.
   bool bootstrap = false;
+  /// Null for the file system of the operating system. Tests pass one that injects faults.
+  raft::FileSystem* file_system = nullptr;
 };
 
 /// One replica of the cell's Raft log, with the coordinator, which is active while the replica
--- a/src/raft/raft_group.cpp
+++ b/src/raft/raft_group.cpp
@@ -272,7 +272,7 @@
   Role role = Role::kFollower;
   if (!stopped) {
     const std::lock_guard lock(mutex);
-    role = node->CurrentRole();
+    if (node != nullptr) role = node->CurrentRole();
   }
   if (role != Role::kLeader || clock.Now() >= deadline) {
     ShutDown();
