Split batches that exceed an entry of the log

A configuration of more than 1 MiB was answered with 503 for ever, and so was every later change, submission and end until the leader changed: the cell stood still with all processes running. The same holds for a batch that grew beyond 1 MiB while the log was busy.

RaftNode::Propose() refused commands above max_message_bytes with kOutOfRange. CellCore reported that as kBusy, and the coordinator proposed the same batch again, with what had been added meanwhile.

The limit of a command is now separate from the size at which messages are filled, and a core process allows what an RPC body can carry, so that a configuration of 4 MiB fits. A batch that is too large is halved, in the order in which its records are applied, until it fits; the callbacks wait for the last part. A configuration that can never fit is refused with kBodyTooLarge. Any other such record is dropped with an error, and its callers learn that the outcome is unknown.

PutConfig_LargeDocument_IsAcknowledged failed on the code before at 1.5 MB (no acknowledgement within 5 s). It passes now with 1.5 MB and 4 MiB. Proposal_TooLargeAfterBusyLog_IsSplit accepted 0 of 100 jobs with the refusal reported as kBusy, as before, and accepts all of them now.

The single tests named above passed.

--- a/src/cell/cell_core.cpp
+++ b/src/cell/cell_core.cpp
@@ -32,6 +32,11 @@
 // The disk of a small VM holds 128 MB, which must fit the log, the snapshot and the previous one.
 constexpr std::size_t kCompactionBytes = std::size_t{6} << 20U;
 constexpr std::uint64_t kSegmentBytes = std::uint64_t{4} << 20U;
+// Leaves space for the other members of a message within the maximum size of an RPC body. A
+// configuration, whose document may have 4 MiB, must fit.
+constexpr std::size_t kMaxCommandBytes = (std::size_t{8} << 20U) - (std::size_t{64} << 10U);
+// Leaves space for the other members of a batch.
+constexpr std::size_t kMaxConfigBytes = kMaxCommandBytes - 1024;
 constexpr std::size_t kJobIdLength = 16;
 
 job::UnixMillis UnixNow() {
@@ -96,6 +101,7 @@
   options.node_options.raft.election_timeout_min = kElectionMin;
   options.node_options.raft.election_timeout_max = kElectionMax;
   options.node_options.raft.compaction_threshold_bytes = kCompactionBytes;
+  options.node_options.raft.max_command_bytes = kMaxCommandBytes;
   options.node_options.raft.lost_replicas = raft::LostReplicaPolicy::kAdmitNew;
   options.node_options.initial_voters = settings_.seeds;
   options.node_options.may_bootstrap = settings_.bootstrap;
@@ -227,8 +233,14 @@
   Event("proposal_refused", Severity::kWarning)
       .With("code", static_cast<int>(proposed.error().code))
       .With("reason", proposed.error().message);
-  return proposed.error().code == ResultCode::kNotLeader ? dispatch::ProposalResult::kNotLeader
-                                                         : dispatch::ProposalResult::kBusy;
+  switch (proposed.error().code) {
+    case ResultCode::kNotLeader:
+      return dispatch::ProposalResult::kNotLeader;
+    case ResultCode::kOutOfRange:
+      return dispatch::ProposalResult::kTooLarge;
+    default:
+      return dispatch::ProposalResult::kBusy;
+  }
 }
 
 void CellCore::SendStart(const dispatch::StartOrder& order) {
@@ -348,6 +360,10 @@
 }
 
 void CellCore::OnPutConfig(const job::CellConfig& config, const Respond& respond) {
+  if (const std::size_t size = wire::Encode(config).size(); size > kMaxConfigBytes) {
+    Event("config_too_large", Severity::kWarning).With("bytes", size);
+    return ReplyWithCode(respond, ResultCode::kBodyTooLarge);
+  }
   coordinator_->PutConfig(config, [respond](ResultCode code) { ReplyWithCode(respond, code); });
 }
 
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -5,6 +5,7 @@
 
 #include "base/event_log.h"
 #include "dispatch/scheduling_pass.h"
+#include "job/batch_split.h"
 
 namespace parsleyline::dispatch {
 namespace {
@@ -105,17 +106,39 @@
   next_batch_.batch_number = next_batch_number_++;
   next_batch_.proposer = proposer_;
   job::CommandBatch batch = std::exchange(next_batch_, {});
-  batches_in_flight_[batch.batch_number] = std::exchange(next_batch_callbacks_, {});
-  const ProposalResult proposal = outbox_.Propose(batch);
+  const std::uint64_t number = batch.batch_number;
+  batches_in_flight_[number] = std::exchange(next_batch_callbacks_, {});
+  const ProposalResult proposal = ProposeInParts(number, &batch);
   if (proposal == ProposalResult::kBusy) {
     // The next pass proposes the same records again.
-    next_batch_callbacks_ = std::move(batches_in_flight_.extract(batch.batch_number).mapped());
+    next_batch_callbacks_ = std::move(batches_in_flight_.extract(number).mapped());
+    job::Append(&batch, std::exchange(next_batch_, {}));
     next_batch_ = std::move(batch);
   } else if (proposal == ProposalResult::kNotLeader) {
     StepDown();
+  } else if (proposal == ProposalResult::kTooLarge) {
+    Event("record_too_large", Severity::kError).With("fence", fence_);
+    const auto callbacks = std::move(batches_in_flight_.extract(number).mapped());
+    for (const CommitCallback& it : callbacks) it(ResultCode::kOutcomeUnknown);
+  } else if (!next_batch_.IsEmpty()) {
+    next_batch_callbacks_ = std::exchange(batches_in_flight_[number], {});
+    outbox_.RequestSchedulingPass();
   }
 }
 
+ProposalResult Coordinator::ProposeInParts(std::uint64_t number, job::CommandBatch* batch) {
+  ProposalResult proposal = outbox_.Propose(*batch);
+  while (proposal == ProposalResult::kTooLarge) {
+    job::CommandBatch rest = job::SplitOff(batch);
+    if (rest.IsEmpty()) break;
+    Event("batch_split").With("number", number);
+    job::Append(&rest, std::exchange(next_batch_, {}));
+    next_batch_ = std::move(rest);
+    proposal = outbox_.Propose(*batch);
+  }
+  return proposal;
+}
+
 void Coordinator::OnApplied(const job::CommandBatch& batch, const job::AppliedChanges& changes) {
   if (!is_leader_) return;
   const bool is_own_batch =
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -195,6 +195,9 @@
                  Worker* worker, SchedulingPass* pass);
   void RemoveEndedJobs();
   void ProposeBatch();
+  /// Proposes the batch number `number`. Splits it if it is too large for one entry of the log; the
+  /// next proposal then carries the records that are left over, and the callbacks wait for these.
+  ProposalResult ProposeInParts(std::uint64_t number, job::CommandBatch* batch);
   void CallWhenDurable(CommitCallback done);
 
   const job::CellState& cell_state_;
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -154,6 +154,8 @@
   kAccepted,
   /// Not accepted now, for example while the leadership is being transferred. Try again.
   kBusy,
+  /// The batch exceeds the size of a log entry.
+  kTooLarge,
   kNotLeader,
 };
 
--- a/src/raft/raft_options.cpp
+++ b/src/raft/raft_options.cpp
@@ -7,6 +7,7 @@
 constexpr int kMinHeartbeatsPerElection = 3;
 // Leaves space for the other members of a message within the maximum size of an RPC body.
 constexpr std::size_t kMaxMessageBytes = std::size_t{4} << 20U;
+constexpr std::size_t kMaxCommandBytes = (std::size_t{8} << 20U) - (std::size_t{64} << 10U);
 
 }  // namespace
 
@@ -22,6 +23,9 @@
   if (max_message_bytes == 0 || max_message_bytes > kMaxMessageBytes) {
     return fail("max_message_bytes must be between 1 and 4194304");
   }
+  if (max_command_bytes == 0 || max_command_bytes > kMaxCommandBytes) {
+    return fail("max_command_bytes must be between 1 and 8323072");
+  }
   if (snapshot_chunk_bytes == 0 || snapshot_chunk_bytes > kMaxMessageBytes) {
     return fail("snapshot_chunk_bytes must be between 1 and 4194304");
   }
--- a/src/raft/raft_options.h
+++ b/src/raft/raft_options.h
@@ -56,8 +56,10 @@
   /// Limits for the entries sent to one follower that it has not yet acknowledged.
   std::size_t max_in_flight_bytes = std::size_t{4} << 20U;
   std::size_t max_in_flight_messages = 8;
-  /// Limit for the entries of one message, and for a single command.
+  /// Limit for the entries of one message. A larger entry has a message of its own.
   std::size_t max_message_bytes = std::size_t{1} << 20U;
+  /// Limit for a single command.
+  std::size_t max_command_bytes = std::size_t{1} << 20U;
   /// Size of the chunks in which a snapshot is sent to a follower.
   std::size_t snapshot_chunk_bytes = std::size_t{1} << 20U;
   LostReplicaPolicy lost_replicas = LostReplicaPolicy::kReplace;
--- a/src/raft/raft_replication.cpp
+++ b/src/raft/raft_replication.cpp
@@ -15,10 +15,10 @@
   if (transfer_target) {
     return Fail(ResultCode::kNotLeader, "a leadership transfer is in progress");
   }
-  if (command.size() > options.max_message_bytes) {
+  if (command.size() > options.max_command_bytes) {
     return Fail(ResultCode::kOutOfRange, "the command has " + std::to_string(command.size()) +
-                                             " bytes; max_message_bytes is " +
-                                             std::to_string(options.max_message_bytes));
+                                             " bytes; max_command_bytes is " +
+                                             std::to_string(options.max_command_bytes));
   }
   if (uncommitted_bytes >= options.max_uncommitted_bytes) {
     return Fail(ResultCode::kOverloaded,
--- a/tests/cell_core/core_cluster.cpp
+++ b/tests/cell_core/core_cluster.cpp
@@ -80,7 +80,7 @@
                   });
     RunUntil([&code] { return code->has_value(); }, Milliseconds(3000));
     const ResultCode answer = code->value_or(ResultCode::kNoLeader);
-    if (answer == ResultCode::kOk || answer == ResultCode::kOutOfRange) return answer;
+    if (answer == ResultCode::kOk || answer == ResultCode::kBodyTooLarge) return answer;
   }
   return ResultCode::kNoLeader;
 }
--- a/tests/cell_core/full_disks_test.cpp
+++ b/tests/cell_core/full_disks_test.cpp
@@ -15,6 +15,7 @@
 class FullDisksTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FullDisksTest);
   CPPUNIT_TEST(Disks_FullOneAfterAnother_ChangesAreAcknowledged);
+  CPPUNIT_TEST(PutConfig_LargeDocument_IsAcknowledged);
   CPPUNIT_TEST(Stop_DiskRefusesStart_Ends);
   CPPUNIT_TEST_SUITE_END();
 
@@ -50,6 +51,28 @@
     }
   }
 
+  // Guards against a configuration that exceeds the size of a Raft message and that the leader then
+  // proposes again for ever, together with all later changes.
+  void PutConfig_LargeDocument_IsAcknowledged() {
+    CoreCluster cluster(3);
+    CPPUNIT_ASSERT(ResultCode::kOk ==
+                   cluster.PutConfig(CoreCluster::Config(1), Milliseconds(15'000)));
+    std::uint64_t version = 1;
+    for (const std::size_t bytes : {1'500'000, 4 << 20}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          std::to_string(bytes),
+          ResultCode::kOk ==
+              cluster.PutConfig(CoreCluster::Config(++version, bytes), kAnswerLimit));
+      CPPUNIT_ASSERT(ResultCode::kOk ==
+                     cluster.PutConfig(CoreCluster::Config(++version), kAnswerLimit));
+    }
+    const std::size_t too_large = (8 << 20) - 32'000;
+    CPPUNIT_ASSERT(ResultCode::kBodyTooLarge ==
+                   cluster.PutConfig(CoreCluster::Config(++version, too_large), kAnswerLimit));
+    CPPUNIT_ASSERT(ResultCode::kOk ==
+                   cluster.PutConfig(CoreCluster::Config(++version), kAnswerLimit));
+  }
+
   // Guards against a crash when a process is stopped while its log cannot be opened.
   void Stop_DiskRefusesStart_Ends() {
     CoreCluster cluster(3);
--- a/tests/dispatch/coordinator_fixture.h
+++ b/tests/dispatch/coordinator_fixture.h
@@ -23,6 +23,7 @@
     advisor_queries.emplace_back(caller, query);
   }
   ProposalResult Propose(const job::CommandBatch& batch) override {
+    if (RecordCount(batch) > max_records) return ProposalResult::kTooLarge;
     if (proposal == ProposalResult::kAccepted) batches.push_back(batch);
     return proposal;
   }
@@ -35,6 +36,15 @@
   std::deque<job::CommandBatch> batches;
   int pass_requests = 0;
   ProposalResult proposal = ProposalResult::kAccepted;
+  /// Larger batches are too large for one entry of the log.
+  std::size_t max_records = SIZE_MAX;
+
+ private:
+  static std::size_t RecordCount(const job::CommandBatch& batch) {
+    return batch.reports.size() + batch.ended_incarnations.size() + batch.submits.size() +
+           batch.ends.size() + batch.cancels.size() + batch.starts.size() +
+           batch.purge.jobs.size() + (batch.config.version == job::ConfigVersion() ? 0 : 1);
+  }
 };
 
 /// A coordinator with a cell state, a manual clock, and workers whose replies the test sends.
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(Gang_TicketsForEnoughWorkers_StartsThere);
   CPPUNIT_TEST(Advice_LongCall_NamesFullWorkersToo);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
+  CPPUNIT_TEST(Proposal_TooLargeAfterBusyLog_IsSplit);
+  CPPUNIT_TEST(Proposal_RecordNeverFits_DoesNotBlockOthers);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
   CPPUNIT_TEST_SUITE_END();
 
@@ -334,6 +336,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
   }
 
+  // Guards against a leader that proposes the same batch for ever, because it has become larger
+  // than an entry of the log while the log was busy.
+  void Proposal_TooLargeAfterBusyLog_IsSplit() {
+    AddWorker("w1", 1'000'000);
+    Advance(200);  // Updates the capacity that admission control uses.
+    outbox_->proposal = ProposalResult::kBusy;
+    outbox_->max_records = 10;
+    constexpr int kJobs = 100;
+    int accepted = 0;
+    const auto submit = [&](int number) {
+      coordinator_->Submit(
+          job::JobId("j" + std::to_string(number)),
+          *cell_state_->config().Find(job::QueueId("urgent")), Spec(1, 10),
+          [&accepted](const SubmitResult& it) { accepted += it.code == ResultCode::kOk ? 1 : 0; });
+      coordinator_->RunSchedulingPass();
+    };
+    for (int i = 0; i < kJobs; ++i) submit(i);
+    CPPUNIT_ASSERT_EQUAL(0, accepted);
+    outbox_->proposal = ProposalResult::kAccepted;
+    CommitAll();
+    CPPUNIT_ASSERT_EQUAL(kJobs, accepted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kJobs}, cell_state_->jobs().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kJobs}, outbox_->starts.size());
+  }
+
+  // Guards against a record larger than an entry of the log that blocks all later records.
+  void Proposal_RecordNeverFits_DoesNotBlockOthers() {
+    AddWorker("w1");
+    outbox_->max_records = 0;
+    CPPUNIT_ASSERT(ResultCode::kOutcomeUnknown == Submit("large", Spec(1, 1000)));
+    outbox_->max_records = SIZE_MAX;
+    Advance(200);  // Updates the backlog that admission control uses.
+    CPPUNIT_ASSERT(ResultCode::kOk == Submit("j", Spec(1, 1000)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+  }
+
   void CompleteGang_OtherMembers_AreNotStopped() {
     AddWorker("w1", 2000);
     Submit("j", Spec(2, 1000, kGang));
