Let removed replicas find a leader that they do not know

A replica that was removed while its disk was full stayed outside the group as long as a replica led that it did not know as a voter. The group then had no spare replica.

The removed replica sends pre-votes to the voters that its log names, and only the leader treats these as a request to be added. If the leader is the replica that took its place, it never hears of the request. Replicas that do not count the sender of a pre-vote as a member now reply with the members, and the sender asks all of these to be added.

The simulation gets disks that refuse writes for a time and groups of three to five replicas.

--- a/src/raft/raft_election.cpp
+++ b/src/raft/raft_election.cpp
@@ -130,14 +130,15 @@
 
 void RaftNode::Impl::OnPreVote(const Message& m) {
   // A replica that was removed while it was disconnected does not know that and asks for votes when
-  // it reconnects. It is treated as a request to be added again.
-  if (phase == Phase::kLeader && log.CurrentConfiguration().Find(m.from) == nullptr) {
-    join_requests[m.from.node] = m.from;
-  }
+  // it reconnects. It is treated as a request to be added again. Other replicas than the leader
+  // reply with the members, because the sender may not know the replica that leads now.
+  const bool is_member = log.CurrentConfiguration().Find(m.from) != nullptr;
+  if (phase == Phase::kLeader && !is_member) join_requests[m.from.node] = m.from;
   const bool grant = m.term > hard_state.term && !HeardFromLeaderRecently() && IsUpToDate(m);
   Message reply = MakeMessage(MessageType::kPreVoteReply, m.from);
   reply.status = grant ? ReplyStatus::kAccepted : ReplyStatus::kRejected;
   if (grant) reply.term = m.term;
+  if (!is_member) reply.configuration = log.CurrentConfiguration();
   Send(std::move(reply));
 }
 
@@ -156,8 +157,18 @@
   SendAfterSync(std::move(reply));
 }
 
+// Asks all nodes of a configuration from which this replica was removed to add it again. Only the
+// leader does so.
+void RaftNode::Impl::RequestToJoin(const Configuration& configuration) {
+  if (configuration.Find(self) != nullptr) return;
+  for (const Member& member : configuration.members) {
+    if (member.replica.node == self.node) continue;
+    Send(MakeMessage(MessageType::kHello, {member.replica.node, ReplicaIdentity()}));
+  }
+}
+
 void RaftNode::Impl::OnVoteReply(const Message& m) {
-  if (m.status != ReplyStatus::kAccepted) return;
+  if (m.status != ReplyStatus::kAccepted) return RequestToJoin(m.configuration);
   const bool pre_vote = m.type == MessageType::kPreVoteReply;
   if (pre_vote &&
       (phase != Phase::kPreCandidate || m.term.value() != hard_state.term.value() + 1)) {
--- a/src/raft/raft_node_impl.h
+++ b/src/raft/raft_node_impl.h
@@ -102,6 +102,7 @@
   void OnPreVote(const Message& m);
   void OnVote(const Message& m);
   void OnVoteReply(const Message& m);
+  void RequestToJoin(const Configuration& configuration);
 
   // raft_replication.cpp
   Result<LogIndex> Propose(std::string command);
--- a/tests/raft/memory_file_system.cpp
+++ b/tests/raft/memory_file_system.cpp
@@ -7,6 +7,8 @@
 namespace parsleyline::raft {
 namespace {
 
+tl::unexpected<Error> Refuse() { return Fail(ResultCode::kStorageFull, "no space left on device"); }
+
 class MemoryFile : public AppendFile {
  public:
   MemoryFile(std::shared_ptr<MemoryFileSystem::Files> files,
@@ -14,6 +16,10 @@
       : files_(std::move(files)), faults_(std::move(faults)), path_(std::move(path)) {}
 
   Result<void> Append(std::string_view bytes) override {
+    if (faults_->refuses_writes) {
+      (*files_)[path_].content.append(bytes.substr(0, bytes.size() / 2));
+      return Refuse();
+    }
     std::uint64_t used = 0;
     for (const auto& [path, file] : *files_) used += file.content.size();
     const std::uint64_t free_bytes = faults_->capacity - std::min(faults_->capacity, used);
@@ -46,16 +52,19 @@
 }
 
 Result<std::unique_ptr<AppendFile>> MemoryFileSystem::Open(const std::string& path) {
+  if (faults->refuses_writes && !files->contains(path)) return Refuse();
   files->try_emplace(path);
   return std::make_unique<MemoryFile>(files, faults, path);
 }
 
 Result<void> MemoryFileSystem::Truncate(const std::string& path, std::uint64_t size) {
+  if (faults->refuses_writes) return Refuse();
   (*files)[path].content.resize(size);
   return {};
 }
 
 Result<void> MemoryFileSystem::Rename(const std::string& from, const std::string& to) {
+  if (faults->refuses_writes) return Refuse();
   calls.push_back("rename " + to);
   (*files)[to] = (*files)[from];
   files->erase(from);
@@ -68,6 +77,7 @@
 }
 
 Result<void> MemoryFileSystem::SyncFolder(const std::string& path) {
+  if (faults->refuses_writes) return Refuse();
   calls.push_back("sync " + path);
   return {};
 }
--- a/tests/raft/memory_file_system.h
+++ b/tests/raft/memory_file_system.h
@@ -48,6 +48,8 @@
     /// A write that would exceed this total size stores only the bytes that fit and then fails, as
     /// on a full disk.
     std::uint64_t capacity = UINT64_MAX;
+    /// Refuses writes, new files, truncations, renames and syncs of the folder, like a full disk.
+    bool refuses_writes = false;
   };
   std::shared_ptr<Faults> faults = std::make_shared<Faults>();
   /// Renames and folder syncs in the order in which they were made, as "rename PATH" and "sync
--- a/tests/raft/raft_fuzz_test.cpp
+++ b/tests/raft/raft_fuzz_test.cpp
@@ -1,8 +1,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "base/event_log.h"
 #include "tests/raft/simulation.h"
@@ -71,6 +74,8 @@
   CPPUNIT_TEST(AdmitNew_TwoVotersUnresponsive_AreRemovedAndAddedAgain);
   CPPUNIT_TEST(AdmitNew_EvenNumberOfReplicas_KeepsVotersOdd);
   CPPUNIT_TEST(AdmitNew_ThreeVoters_KeepsUnresponsiveOnes);
+  CPPUNIT_TEST(AdmitNew_DisksFullOneAfterAnother_AllReplicasReturn);
+  CPPUNIT_TEST(AdmitNew_RemovedWhileDownAndLeaderUnknown_IsAddedAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,7 +177,81 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, VotersSeenByLeader(simulation));
   }
 
+  // Guards against a group that makes no progress, or has lost members, after each disk was full
+  // for a while.
+  void AdmitNew_DisksFullOneAfterAnother_AllReplicasReturn() {
+    for (const int replicas : {3, 4, 5}) {
+      for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+        const std::string violation = FillDisksInTurn(seed, replicas);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            std::to_string(replicas) + " replicas, seed " + std::to_string(seed), std::string(),
+            violation);
+      }
+    }
+  }
+
+  // Guards against a replica that was removed while it was down and does not know the replica that
+  // leads the group since then.
+  void AdmitNew_RemovedWhileDownAndLeaderUnknown_IsAddedAgain() {
+    Simulation simulation(
+        14, {.lost_replicas = LostReplicaPolicy::kAdmitNew, .disconnected = "d", .replicas = 4});
+    const std::string removed = simulation.Leader() == "a" ? "b" : "a";
+    simulation.Isolate(removed);
+    simulation.Run(Milliseconds(1000));
+    // "d" joins the group and takes the place of the voter that does not reply.
+    simulation.Heal();
+    simulation.Isolate(removed);
+    simulation.Run(Milliseconds(8000));
+    CPPUNIT_ASSERT(!simulation.Status(simulation.Leader()).configuration.HasNode(NodeId(removed)));
+    CPPUNIT_ASSERT(simulation.MakeLeader("d"));
+    simulation.Heal();
+    simulation.Run(Milliseconds(5000));
+    const Configuration configuration = simulation.Status(simulation.Leader()).configuration;
+    CPPUNIT_ASSERT(configuration.HasNode(NodeId(removed)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, configuration.members.size());
+  }
+
  private:
+  // Fills the disks of all replicas in turn, twice, each for 2 to 6 s, and returns what is wrong
+  // afterwards. With odd seeds replicas also crash meanwhile.
+  static std::string FillDisksInTurn(std::uint64_t seed, int replicas) {
+    try {
+      std::mt19937_64 random(seed);
+      Simulation simulation(seed,
+                            {.lost_replicas = LostReplicaPolicy::kAdmitNew, .replicas = replicas});
+      simulation.Run(Milliseconds(2000));
+      std::vector<std::string> order;
+      for (int i = 0; i < replicas; ++i) order.emplace_back(1, static_cast<char>('a' + i));
+      for (int round = 0; round < 2; ++round) {
+        std::shuffle(order.begin(), order.end(), random);
+        for (const std::string& it : order) {
+          // In the second round it is the disk of the leader, whichever that is.
+          const std::string leader = simulation.Leader();
+          const std::string full = round == 0 || leader.empty() ? it : leader;
+          simulation.SetDiskFull(full, true);
+          simulation.Run(Milliseconds(2000 + random() % 4000));
+          simulation.SetDiskFull(full, false);
+          if (seed % 2 == 1) simulation.Crash(it);
+          simulation.Run(Milliseconds(random() % 1500));
+        }
+      }
+      simulation.Run(Milliseconds(5000));
+      const LogIndex before = simulation.HighestApplied();
+      simulation.Run(Milliseconds(1000));
+      if (simulation.HighestApplied() <= before) return "no progress";
+      const std::string leader = simulation.Leader();
+      if (leader.empty()) return "no leader";
+      const Configuration configuration = simulation.Status(leader).configuration;
+      if (configuration.members.size() != order.size()) {
+        return std::to_string(configuration.members.size()) + " members";
+      }
+      simulation.HealAndConverge();
+      return "";
+    } catch (const Violation& violation) {
+      return violation.what();
+    }
+  }
+
   static std::size_t VotersSeenByLeader(const Simulation& simulation) {
     return simulation.Status(simulation.Leader()).configuration.VoterCount();
   }
--- a/tests/raft/simulation.h
+++ b/tests/raft/simulation.h
@@ -33,6 +33,8 @@
     LostReplicaPolicy lost_replicas = LostReplicaPolicy::kReplace;
     /// Replica that is disconnected from the start. Empty for none.
     std::string disconnected;
+    /// Replicas that run, from "a" on.
+    int replicas = 5;
   };
 
   explicit Simulation(std::uint64_t seed) : Simulation(seed, Faults()) {}
@@ -53,6 +55,15 @@
   void Isolate(const std::string& name);
   /// Ends the effect of all earlier calls to BlockLink() and Isolate().
   void Heal() { blocked_links_.clear(); }
+  /// Fills the disk of a replica, or frees it. A replica whose disk refuses a write opens its files
+  /// again after 500 ms, until it can.
+  void SetDiskFull(const std::string& name, bool full) {
+    replicas_.at(name).disk->faults->refuses_writes = full;
+  }
+  /// Transfers the leadership to a replica. Returns false if it does not lead within 2 s.
+  bool MakeLeader(const std::string& name);
+  /// Lets a replica crash and start again.
+  void Crash(const std::string& name);
   /// Returns the leader with the highest term, or an empty string.
   std::string Leader() const;
   NodeStatus Status(const std::string& name) const { return replicas_.at(name).node->Status(); }
@@ -80,6 +91,7 @@
     Configuration configuration;  // After the last step.
     TimePoint paused_until;
     TimePoint restart_at;
+    bool write_failed = false;
     TimePoint sync_due = TimePoint::max();
     std::uint64_t written_batch = 0;
     std::vector<Message> messages_after_sync;
@@ -99,7 +111,12 @@
   void Send(const Message& m);
   void ProposeToRandomReplica();
   void InjectFault();
-  void Crash(const std::string& name);
+  /// Returns whether `outcome` is a success. Otherwise notes that the replica has to stop, if its
+  /// disk is full.
+  template <typename Outcome>
+  bool CheckWrite(Replica* replica, const Outcome& outcome);
+  /// Stops a replica whose disk has refused a write.
+  void StopIfWriteFailed(Replica* replica);
   void LoseDisk(const std::string& name);
   void ChangeMembership();
   bool CanLoseDisk(const std::string& name) const;
@@ -112,6 +129,7 @@
 
   std::mt19937_64 random_;
   const Faults faults_;
+  const std::vector<std::string> names_;
   TimePoint now_{std::chrono::hours(1)};
   std::map<std::string, Replica> replicas_;
   std::multimap<TimePoint, Message> network_;
