--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -241,6 +241,9 @@
   WaitReason DiagnoseWait(const WaitingStep& waiting, const job::StepSpec& step,
                           const SchedulingPass& pass) const;
   void ProposeBatch();
+  /// Proposes the batch number `number`. Splits it if it is too large for one entry of the log; the
+  /// next proposal then carries the records that are left over, and the callbacks wait for these.
+  ProposalResult ProposeInParts(std::uint64_t number, job::CommandBatch* batch);
   void CallWhenDurable(CommitCallback done);
 
   const job::CellState& cell_state_;
