Send holds to a worker that was added again while its list is recorded

What callers can see: tasks on one worker lapse 5 s after their start and are never started again, gangs with a task there among them, while the worker is counted as free and gets new tasks.

Each list with ended runs counts as in flight until the ends are durable, and the worker gets no hold meanwhile. Its reports kept it schedulable, its leases expired without the leader counting a failed hold, and the ends were not read.

The callback now changes only the entry that the list came from, which its slot identifies.

CoordinatorRunsTest::Worker_AddedAgainWhileItsListIsRecorded_GetsHolds fails on the code before (no hold in three rounds) and passes now.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -440,12 +440,10 @@
   if (highest == worker->last_listed_end) return;
   worker->last_listed_end = highest;
   ++worker->lists_in_flight;
-  CallWhenDurable([this, incarnation = worker->report.incarnation, highest](ResultCode code) {
-    Worker* reporter = is_leader_ ? roster_.Find(incarnation.worker) : nullptr;
-    if (code != ResultCode::kOk || reporter == nullptr ||
-        reporter->report.incarnation != incarnation) {
-      return;
-    }
+  CallWhenDurable([this, id = worker->id(), slot = worker->slot, highest](ResultCode code) {
+    Worker* reporter = is_leader_ ? roster_.Find(id) : nullptr;
+    // The worker may have been removed and added again, also as the same incarnation.
+    if (code != ResultCode::kOk || reporter == nullptr || reporter->slot != slot) return;
     --reporter->lists_in_flight;
     reporter->recorded_end = std::max(reporter->recorded_end, highest);
   });
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(Advice_LongCall_NamesFullWorkersToo);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
   CPPUNIT_TEST(Job_QueueRemoved_LaterStepIsStarted);
+  CPPUNIT_TEST(Worker_AddedAgainWhileItsListIsRecorded_GetsHolds);
   CPPUNIT_TEST(Proposal_TooLargeAfterBusyLog_IsSplit);
   CPPUNIT_TEST(Proposal_RecordNeverFits_DoesNotBlockOthers);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
@@ -337,6 +338,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
   }
 
+  // Guards against a worker that gets no more holds, so that each run there ends with its lease and
+  // the end is never read: it was removed and added again while its list was being recorded.
+  void Worker_AddedAgainWhileItsListIsRecorded_GetsHolds() {
+    const StartOrder order = StartOne("w1");
+    Reply(order, OrderOutcome::kAccepted);
+    HoldReply reply;
+    reply.outcome = OrderOutcome::kAccepted;
+    reply.started_at = job::UnixMillis(1);
+    reply.clock = WorkerMillis(UnixNow().value());
+    reply.finished = {EndOf(order.run, RunEnd::kDone, 1)};
+    coordinator_->OnHoldReply(outbox_->holds.at(WorkerId("w1")), reply);
+    coordinator_->OnWorkerLeave(WorkerId("w1"), [](ResultCode) {});
+    coordinator_->OnWorkerReport(Report("w1"), [](ResultCode) {});
+    CommitAll();
+    reply.finished.clear();
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT(outbox_->holds.contains(WorkerId("w1")));
+      const HoldOrder hold = outbox_->holds.at(WorkerId("w1"));
+      outbox_->holds.clear();
+      coordinator_->OnHoldReply(hold, reply);
+      CommitAll();
+    }
+  }
+
   // Guards against an accepted job whose later steps are never started, because its queue was
   // removed from the configuration meanwhile.
   void Job_QueueRemoved_LaterStepIsStarted() {
