Complete a task whose lost run turns out to be done

What workers can see: a task is started again after a run of it was done and its end was recorded.

An order that is carried out late can reach a new incarnation of its worker, which has the same id. The leader had recorded the run as lost with the old incarnation. When the new one lists the run as done, the state ignored that end, because another run was due or active, but acknowledged it.

The state now accepts the end of an earlier run as completion of its task, or of its gang, and the leader has the later runs stopped.

CellStateTest::End_OfEarlierRun_ChangesNothing demanded that a done end of an earlier run changes nothing, which contradicts the guarantee that a completed task is not started again. It now checks the six other ends, and that they cost no attempt; End_DoneOfLostRun_CompletesTask and End_DoneOfLostGangRun_CompletesGang check the done end.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -156,6 +156,7 @@
     changed_jobs.insert(it.task.step.job);
     RemoveRun({it.task, it.run});
   }
+  for (const job::EndRecord& it : changes.late_completions) RequestStopOfLaterRuns(it);
   for (const job::GivenUpTask& it : changes.given_up) {
     ++counts_.given_up;
     Event("task_given_up", Severity::kWarning)
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -171,6 +171,8 @@
   /// Has a run stopped. The stop is repeated until the worker confirms it.
   void RequestStop(Run* run);
   void RequestGangStop(const job::StepKey& step, job::RunNumber run);
+  /// Has the runs stopped that were started after `completed`, which was taken for lost.
+  void RequestStopOfLaterRuns(const job::EndRecord& completed);
   /// Has the runs of a job stopped, except those of steps with one of the `excluded_flags`.
   void RequestJobStop(const job::JobId& job, std::uint32_t excluded_flags);
   /// Updates the failure history of a worker with the end of a run.
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -341,6 +341,19 @@
   }
 }
 
+void Coordinator::RequestStopOfLaterRuns(const job::EndRecord& completed) {
+  Event("run_completed_late").With("run", completed.task).With("number", completed.run);
+  const job::RunKey first{{completed.task.step, 0}, job::RunNumber()};
+  for (auto it = worker_by_run_.lower_bound(first); it != worker_by_run_.end(); ++it) {
+    if (it->first.task.step != completed.task.step) break;
+    Worker* worker = nullptr;
+    Run* run = it->first.run > completed.run ? FindRun(it->first, &worker) : nullptr;
+    if (run == nullptr) continue;
+    const bool is_gang = (run->flags & static_cast<std::uint32_t>(job::StepFlag::kGang)) != 0;
+    if (is_gang || it->first.task == completed.task) RequestStop(run);
+  }
+}
+
 void Coordinator::RequestJobStop(const job::JobId& job, std::uint32_t excluded_flags) {
   const job::RunKey first{{{job, 0, 0}, 0}, job::RunNumber()};
   for (auto it = worker_by_run_.lower_bound(first); it != worker_by_run_.end(); ++it) {
--- a/src/job/cell_state.cpp
+++ b/src/job/cell_state.cpp
@@ -214,11 +214,17 @@
   if (it == jobs_.end() || it->second.HasEnded() || step == nullptr) return;
   if (record.task.index >= step->tasks.size()) return;
   TaskState& task = step->tasks[record.task.index];
-  if (task.phase != TaskPhase::kStarted || task.run != record.run) return;
+  const StepSpec& spec = it->second.spec.steps[record.task.step.step];
+  const bool is_current = task.phase == TaskPhase::kStarted && task.run == record.run;
+  // An order that was carried out late can complete a run that was taken for lost.
+  const bool is_late_completion = !is_current && record.end == RunEnd::kDone &&
+                                  record.run <= task.run && task.phase != TaskPhase::kDone &&
+                                  !spec.Has(StepFlag::kLongRunning);
+  if (!is_current && !is_late_completion) return;
+  if (is_late_completion) changes->late_completions.push_back(record);
+  if (task.phase == TaskPhase::kStarted) --step->started;
   task.phase = TaskPhase::kWaiting;
-  --step->started;
   if (!record.checkpoint.empty()) task.checkpoint = record.checkpoint;
-  const StepSpec& spec = it->second.spec.steps[record.task.step.step];
   if (!spec.Has(StepFlag::kLongRunning)) {
     if (record.end == RunEnd::kDone) CompleteTask(&it->second, record, changes);
     if (record.end == RunEnd::kFailed) RecordTaskFailure(&it->second, record, changes);
--- a/src/job/cell_state.h
+++ b/src/job/cell_state.h
@@ -163,6 +163,9 @@
   std::vector<StartRecord> starts;
   /// Starts that were not applied, for example because the job was cancelled before.
   std::vector<StartRecord> stale_starts;
+  /// Ends of runs that were taken for lost and have completed their task all the same. Later runs
+  /// of the task, or of its gang, are not needed any more.
+  std::vector<EndRecord> late_completions;
   /// Tasks that were given up; their jobs are in `ended`.
   std::vector<GivenUpTask> given_up;
   bool config_changed = false;
--- a/tests/dispatch/cell_faults_test.cpp
+++ b/tests/dispatch/cell_faults_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(CellFaultsTest);
   CPPUNIT_TEST(AcceptedJobs_FaultsOfEveryKind_End);
   CPPUNIT_TEST(AcceptedJobs_TwoClientsNeverAnswer_End);
+  CPPUNIT_TEST(LostRuns_CompletedByLateOrders_AreNotRepeated);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -39,6 +40,16 @@
     }
   }
 
+  // Guards against tasks that are started again after they were done, because the run that
+  // completed them had been taken for lost.
+  void LostRuns_CompletedByLateOrders_AreNotRepeated() {
+    for (const std::uint32_t seed : {15U, 71U, 103U}) {
+      CellSetup setup;
+      setup.seed = seed;
+      Play(setup);
+    }
+  }
+
  private:
   static void Play(const CellSetup& setup) {
     CellSimulation simulation(setup);
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(Advice_LongCall_NamesFullWorkersToo);
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
   CPPUNIT_TEST(Job_QueueRemoved_LaterStepIsStarted);
+  CPPUNIT_TEST(LostRun_ListedAsDone_LaterRunIsStopped);
   CPPUNIT_TEST(Worker_AddedAgainWhileItsListIsRecorded_GetsHolds);
   CPPUNIT_TEST(Step_GangWaitsInFreeCell_IsStarted);
   CPPUNIT_TEST(Proposal_TooLargeAfterBusyLog_IsSplit);
@@ -379,6 +380,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
   }
 
+  // Guards against a task that runs twice: its worker restarted, and the new incarnation carried
+  // out the order to the old one.
+  void LostRun_ListedAsDone_LaterRunIsStopped() {
+    const StartOrder first = StartOne("w1");
+    AddWorker("w2");
+    AddWorker("w1", 4000, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    const StartOrder second = outbox_->starts.back();
+    Reply(second, OrderOutcome::kAccepted);
+    AnswerHold("w1", {}, {EndOf(first.run, RunEnd::kDone, 1)}, 2);
+    CPPUNIT_ASSERT(JobPhase::kComplete == PhaseOf("j"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    CPPUNIT_ASSERT(second.run == outbox_->stops.front().run);
+  }
+
   // Guards against an accepted job whose later steps are never started, because its queue was
   // removed from the configuration meanwhile.
   void Job_QueueRemoved_LaterStepIsStarted() {
--- a/tests/job/cell_state_test.cpp
+++ b/tests/job/cell_state_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(Start_TaskAlreadyStarted_IsStale);
   CPPUNIT_TEST(Start_AfterCancel_IsStale);
   CPPUNIT_TEST(End_OfEarlierRun_ChangesNothing);
+  CPPUNIT_TEST(End_DoneOfLostRun_CompletesTask);
+  CPPUNIT_TEST(End_DoneOfLostGangRun_CompletesGang);
   CPPUNIT_TEST(End_AllTasksDone_CompletesJob);
   CPPUNIT_TEST(End_FailedAttemptsTimes_FailsJob);
   CPPUNIT_TEST(End_LostOrStopped_CostsNoAttempt);
@@ -70,6 +72,34 @@
     book_.Apply(batch);
   }
 
+  // Guards against a task that runs twice, because the run that was taken for lost had completed
+  // it.
+  void End_DoneOfLostRun_CompletesTask() {
+    Submit({Step(2)});
+    Start(Task(0, 0), 1);
+    End(Task(0, 0), 1, RunEnd::kLost);
+    Start(Task(0, 0), 2);
+    End(Task(0, 0), 1, RunEnd::kDone);
+    const StepState& step = *book_.FindStep({kJob, 0, 0});
+    CPPUNIT_ASSERT(TaskPhase::kDone == step.tasks[0].phase);
+    CPPUNIT_ASSERT_EQUAL(1U, step.done);
+    CPPUNIT_ASSERT_EQUAL(0U, step.started);
+    End(Task(0, 0), 2, RunEnd::kStopped);
+    CPPUNIT_ASSERT_EQUAL(1U, step.done);
+    CPPUNIT_ASSERT_EQUAL(1U, step.WaitingCount());
+  }
+
+  void End_DoneOfLostGangRun_CompletesGang() {
+    Submit({Step(2, static_cast<std::uint32_t>(StepFlag::kGang)), Step(1)});
+    for (std::uint32_t i = 0; i < 2; ++i) Start(Task(0, i), 1);
+    for (std::uint32_t i = 0; i < 2; ++i) End(Task(0, i), 1, RunEnd::kLost);
+    for (std::uint32_t i = 0; i < 2; ++i) Start(Task(0, i), 2);
+    End(Task(0, 1), 1, RunEnd::kDone);
+    const StepState& step = *book_.FindStep({kJob, 0, 0});
+    CPPUNIT_ASSERT(step.IsDone());
+    CPPUNIT_ASSERT_EQUAL(0U, step.WaitingCount());
+  }
+
   // Guards against a job that is reported as failed after the first failure of a task, because its
   // queue was removed from the configuration.
   void RemovedQueue_OpenJob_KeepsItsAttempts() {
@@ -127,8 +157,12 @@
     Start(Task(0, 0), 1);
     End(Task(0, 0), 1, RunEnd::kLost);
     Start(Task(0, 0), 2);
-    End(Task(0, 0), 1, RunEnd::kDone);
-    CPPUNIT_ASSERT(TaskPhase::kStarted == book_.FindTask(Task(0, 0))->phase);
+    for (const RunEnd it : {RunEnd::kFailed, RunEnd::kStopped, RunEnd::kLeaseExpired, RunEnd::kLost,
+                            RunEnd::kGangBroken, RunEnd::kGangIncomplete}) {
+      End(Task(0, 0), 1, it);
+      CPPUNIT_ASSERT(TaskPhase::kStarted == book_.FindTask(Task(0, 0))->phase);
+      CPPUNIT_ASSERT_EQUAL(0U, book_.FindTask(Task(0, 0))->failures);
+    }
   }
 
   void End_AllTasksDone_CompletesJob() {
