Keep the number of a start in use until its record is applied

What workers can see: two runs of one task under the same number on two workers, and a third start while the second one still runs.

If a worker restarted while the record of a start on it was being committed, the leader forgot the run at once. Until the record was applied, the task looked startable and got the same number on another worker. The record of the first start then released the order of the second one, and the end of the first run ended the second one, so that a third start followed.

The run now counts as open until its record is applied; SendStart() then ends it as lost.

CoordinatorRunsTest::Start_WorkerReplacedBeforeItIsDurable_TaskStartsOnce fails on the code before (2 starts) and passes now.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -142,10 +142,10 @@
           .With("age_ms", (worker.RunningUntil(now) - run.ordered_at) / Milliseconds(1));
       crash.tasks.push_back({key.task, HadJustStarted(run, worker, now)});
     }
-    worker_by_run_.erase(key);
     pending_starts_.erase(key);
-    // This end may be applied before the record of a start that is only proposed. SendStart() then
-    // records that run as lost.
+    // The number of a run whose start is only proposed is in use. SendStart() ends it.
+    if (run.phase == RunPhase::kProposed) continue;
+    worker_by_run_.erase(key);
     next_batch_.ends.push_back({key.task, key.run, job::RunEnd::kLost, run.checkpoint});
   }
   if (crashed) next_batch_.crashes.push_back(std::move(crash));
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(Proposal_LogBusy_IsRepeated);
   CPPUNIT_TEST(Job_QueueRemoved_LaterStepIsStarted);
   CPPUNIT_TEST(LostRun_ListedAsDone_LaterRunIsStopped);
+  CPPUNIT_TEST(Start_WorkerReplacedBeforeItIsDurable_TaskStartsOnce);
   CPPUNIT_TEST(Worker_AddedAgainWhileItsListIsRecorded_GetsHolds);
   CPPUNIT_TEST(Step_GangWaitsInFreeCell_IsStarted);
   CPPUNIT_TEST(Proposal_TooLargeAfterBusyLog_IsSplit);
@@ -380,6 +381,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
   }
 
+  // Guards against two runs of a task under one number: its first worker restarted while the record
+  // of the start was being committed.
+  void Start_WorkerReplacedBeforeItIsDurable_TaskStartsOnce() {
+    AddWorker("w1", 4000);
+    AddWorker("w2", 8000);
+    coordinator_->Submit(job::JobId("j"), *cell_state_->config().Find(job::QueueId("urgent")),
+                         Spec(1, 1000), [](const SubmitResult&) {});
+    coordinator_->RunSchedulingPass();
+    const auto submit = outbox_->batches.front();
+    outbox_->batches.pop_front();
+    coordinator_->OnApplied(submit, cell_state_->Apply(submit));
+    coordinator_->RunSchedulingPass();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->batches.front().starts.size());
+    coordinator_->OnWorkerReport(Report("w1", 4000, 2), [](ResultCode) {});
+    CommitAll();
+    Advance(500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT(WorkerId("w2") == outbox_->starts.front().to.incarnation.worker);
+    CPPUNIT_ASSERT(cell_state_->open_runs().contains(outbox_->starts.front().run));
+  }
+
   // Guards against a task that runs twice: its worker restarted, and the new incarnation carried
   // out the order to the old one.
   void LostRun_ListedAsDone_LaterRunIsStopped() {
