--- a/src/dispatch/coordinator_diagnosis.cpp
+++ b/src/dispatch/coordinator_diagnosis.cpp
@@ -30,7 +30,13 @@
   next_diagnosis_ = now + kDiagnosisInterval;
   counts_.overdue_steps = 0;
   counts_.overdue_holds = 0;
+  std::int64_t capacity = 0;
+  std::int64_t charged = 0;
   for (const auto& [id, worker] : roster_.workers()) {
+    if (worker.IsSchedulable(now)) {
+      capacity += worker.report.capacity.cpu.count();
+      charged += worker.charged.cpu.count();
+    }
     if (!worker.reconciled || worker.unanswered_holds > 0) continue;
     if (now - worker.last_hold_reply < kHoldOverdueAfter) continue;
     ++counts_.overdue_holds;
@@ -40,10 +46,10 @@
         .With("in_flight", worker.hold_in_flight ? 1 : 0)
         .With("lists_in_flight", worker.lists_in_flight);
   }
+  // In a full cell, steps wait for capacity.
+  if (charged > capacity / 2) return;
   SchedulingPass pass;
   BeginPass(&pass);
-  // In a full cell, steps wait for capacity.
-  if (pass.is_half_charged) return;
   for (const job::JobId& id : cell_state_.open_jobs()) {
     const job::Job& job = *cell_state_.Find(id);
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -144,18 +144,13 @@
 void Coordinator::BeginPass(SchedulingPass* pass) {
   pass->now = clock_.Now();
   pass->capacity_by_slot.resize(roster_.SlotCount());
-  std::int64_t capacity = 0;
-  std::int64_t charged = 0;
   for (auto& [id, worker] : roster_.workers()) {
     if (!worker.IsSchedulable(pass->now)) continue;
     const Resources free = worker.FreeCapacity();
-    capacity += worker.report.capacity.cpu.count();
-    charged += worker.charged.cpu.count();
     pass->capacity_by_slot[worker.slot] = {&worker, free, false, false, nullptr};
     pass->schedulable_slots.push_back(worker.slot);
     pass->max_free.RaiseTo(free);
   }
-  pass->is_half_charged = charged >= capacity / 2;
   for (const auto& [key, waiting] : waiting_steps_) {
     for (const std::uint32_t it : waiting->reserved_slots) {
       pass->capacity_by_slot[it].reserved_for = waiting.get();
@@ -338,9 +333,7 @@
   if (is_charged && !step.demand.FitsInto(pass->max_free)) return;
   const bool can_wait =
       waiting->rank.outcome == ExpectedOutcome::kInTime && waiting->rank.slack > kDeferrableSlack;
-  // In a cell with much free capacity, the gang waits for something else.
-  const bool gang_needs_capacity = pass->gang_is_waiting && pass->is_half_charged;
-  if (can_wait && gang_needs_capacity && waiting->priority > pass->waiting_gang_priority) return;
+  if (can_wait && pass->gang_is_waiting && waiting->priority > pass->waiting_gang_priority) return;
   if (pass->now < waiting->next_attempt) return;
   const std::vector<std::uint32_t> tasks = FindWaitingTasks(*waiting);
   if (tasks.empty()) return;
--- a/src/dispatch/scheduling_pass.h
+++ b/src/dispatch/scheduling_pass.h
@@ -59,8 +59,6 @@
   /// Maximum over the workers of each free resource when the pass began. A task that needs more
   /// fits nowhere.
   Resources max_free;
-  /// Whether at least half of the CPU capacity was charged when the pass began.
-  bool is_half_charged = false;
   /// Workers withheld for gangs so far.
   std::size_t withheld_count = 0;
   /// Whether a gang that can still meet its objective is waiting, and the priority of the last such
