Match the reply to a hold to the last hold of the worker

What workers can see: two holds at a time for good, and healthy runs that are stopped. Found by a review from reading.

If a worker was removed while a hold to it was in flight and a report added the same incarnation again, the reply to the old hold cleared the mark of the new one, and a third hold was sent beside it. From then on, the older of two replies in flight was taken for the newer, so that a run that was confirmed between them looked absent. A failed old hold also counted for the new entry.

Holds now have numbers that are not sent, and only the reply to the last one counts.

CoordinatorRunsTest::Worker_AddedAgainWhileHoldIsInFlight_GetsOneHoldAtATime fails on (a second hold is sent) and passes now.

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -282,6 +282,7 @@
   };
   std::map<NodeId, AdvisorClient> advisor_clients_;
   AdvisorCallNumber next_call_number_{1};
+  std::uint64_t next_hold_number_ = 1;
   std::map<job::JobId, std::vector<SubmitCallback>> pending_submits_;
   /// Task durations by queue. Not replicated; each leader learns them again.
   std::map<job::QueueId, DurationModel> duration_models_;
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -157,7 +157,7 @@
   for (auto& [id, worker] : roster_.workers()) {
     if (worker.hold_in_flight || now < worker.next_hold || worker.lists_in_flight > 0) continue;
     worker.hold_in_flight = true;
-    ++worker.holds_sent;
+    worker.last_hold = next_hold_number_++;
     const bool has_uncertain_run =
         std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& it) {
           return it.second.phase == RunPhase::kStopped || it.second.phase == RunPhase::kUncertain ||
@@ -165,8 +165,12 @@
         });
     const WorkerMillis lease = worker.unanswered_holds == 0 ? worker.lease_clock.GrantLease(now)
                                                             : worker.lease_clock.LongestLease();
-    HoldOrder order{worker.Address(), lease, fence_, worker.recorded_end,
-                    has_uncertain_run ? kMaxHoldWaitWhileUncertain : kMaxHoldWait};
+    HoldOrder order{worker.Address(),
+                    lease,
+                    fence_,
+                    worker.recorded_end,
+                    has_uncertain_run ? kMaxHoldWaitWhileUncertain : kMaxHoldWait,
+                    worker.last_hold};
     // The first hold reads the lists and the clock without waiting for a run to end.
     if (!worker.reconciled) order.max_wait = Milliseconds(0);
     outbox_.SendHold(order);
@@ -281,7 +285,7 @@
     worker->lease_clock.RecordReading(reply.clock, clock_.Now());
     if (run->phase != RunPhase::kSent) return;
     run->phase = RunPhase::kActive;
-    run->last_hold_number = worker->holds_sent;
+    run->last_hold_number = worker->last_hold;
     return;
   }
   Event("start_refused", Severity::kWarning)
@@ -293,13 +297,13 @@
   switch (reply.outcome) {
     case OrderOutcome::kUnknown:
       run->phase = RunPhase::kUncertain;
-      run->last_hold_number = worker->holds_sent;
+      run->last_hold_number = worker->last_hold;
       pending_stops_.insert(run->key);
       outbox_.RequestSchedulingPass();
       return;
     case OrderOutcome::kStaleRun:
       run->phase = RunPhase::kStopped;
-      run->last_hold_number = worker->holds_sent;
+      run->last_hold_number = worker->last_hold;
       return;
     case OrderOutcome::kBadTicket:
       if (const auto it = waiting_steps_.find(order.run.task.step); it != waiting_steps_.end()) {
@@ -376,13 +380,14 @@
   }
   if (run->phase != RunPhase::kUncertain && run->phase != RunPhase::kActive) return;
   run->phase = RunPhase::kStopped;
-  run->last_hold_number = worker->holds_sent;
+  run->last_hold_number = worker->last_hold;
 }
 
 void Coordinator::OnHoldReply(const HoldOrder& order, const HoldReply& reply) {
   Worker* worker = is_leader_ ? roster_.Find(order.to.incarnation.worker) : nullptr;
   if (worker == nullptr || worker->report.incarnation != order.to.incarnation) return;
-  if (order.fence != fence_) return;
+  // The hold of a worker that was removed and added again may still be answered.
+  if (order.fence != fence_ || order.number != worker->last_hold) return;
   worker->hold_in_flight = false;
   const TimePoint now = clock_.Now();
   const bool other_incarnation = reply.outcome == OrderOutcome::kAccepted &&
@@ -404,7 +409,7 @@
   worker->unanswered_holds = 0;
   worker->last_hold_reply = now;
   worker->next_hold = now;
-  ReconcileRuns(worker, reply, worker->holds_sent);
+  ReconcileRuns(worker, reply, worker->last_hold);
   outbox_.RequestSchedulingPass();
 }
 
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -61,6 +61,8 @@
   EndNumber acknowledged;
   /// The worker answers after this time, or earlier when a run ends.
   Milliseconds max_wait{0};
+  /// Number of the hold among those to all workers. Not sent.
+  std::uint64_t number = 0;
 };
 
 /// Result of an order.
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -81,7 +81,8 @@
   /// Number of lists whose finished runs are being recorded.
   std::uint32_t lists_in_flight = 0;
   bool hold_in_flight = false;
-  std::uint64_t holds_sent = 0;
+  /// Number of the last hold.
+  std::uint64_t last_hold = 0;
   TimePoint next_hold;
   /// Consecutive holds without an answer, and when the first of them failed.
   std::uint32_t unanswered_holds = 0;
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(LostRun_ListedAsDone_LaterRunIsStopped);
   CPPUNIT_TEST(Start_WorkerReplacedBeforeItIsDurable_TaskStartsOnce);
   CPPUNIT_TEST(Worker_AddedAgainWhileItsListIsRecorded_GetsHolds);
+  CPPUNIT_TEST(Worker_AddedAgainWhileHoldIsInFlight_GetsOneHoldAtATime);
   CPPUNIT_TEST(Proposal_TooLargeAfterBusyLog_IsSplit);
   CPPUNIT_TEST(Proposal_RecordNeverFits_DoesNotBlockOthers);
   CPPUNIT_TEST(CompleteGang_OtherMembers_AreNotStopped);
@@ -364,6 +365,20 @@
     }
   }
 
+  // Guards against two holds in flight at a time, the older of which makes runs look absent that
+  // were confirmed after it: the worker was removed and added again.
+  void Worker_AddedAgainWhileHoldIsInFlight_GetsOneHoldAtATime() {
+    AddWorker("w1");
+    const HoldOrder old_hold = outbox_->holds.at(WorkerId("w1"));
+    coordinator_->OnWorkerLeave(WorkerId("w1"), [](ResultCode) {});
+    coordinator_->OnWorkerReport(Report("w1"), [](ResultCode) {});
+    CommitAll();
+    outbox_->holds.clear();
+    coordinator_->OnHoldReply(old_hold, HoldReply());
+    Advance(500);
+    CPPUNIT_ASSERT(outbox_->holds.empty());
+  }
+
   // Guards against two runs of a task under one number: its first worker restarted while the record
   // of the start was being committed.
   void Start_WorkerReplacedBeforeItIsDurable_TaskStartsOnce() {
