Read a complete list before a restored run counts as absent or present

What callers can see: a task, and a gang for all its tasks, that is not started again until the leader changes. Found by a review from reading.

A new leader settles the runs that earlier leaders ordered with the first list of their worker. A list with 500 ends may be incomplete and was passed over, but the worker counted as read; a run whose order never arrived then stayed in the phase of an order in flight, which no later list ends.

The worker now counts as read after the first complete list.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -416,23 +416,22 @@
 void Coordinator::ReconcileRuns(Worker* worker, const HoldReply& reply, std::uint64_t hold) {
   RecordFinishedRuns(worker, reply.finished);
   for (const ActiveRun& it : reply.active) UpdateActiveRun(worker, it, hold);
-  if (reply.finished.size() < kMaxListedEnds) {
-    std::set<job::RunKey> present;
-    for (const ActiveRun& it : reply.active) present.insert(it.run);
-    for (auto& [key, run] : worker->runs) {
-      if (present.contains(key)) continue;
-      if (!worker->reconciled && run.phase == RunPhase::kSent) {
-        // An earlier leader ordered this run, and its start order may still be in flight.
-        run.phase = RunPhase::kUncertain;
-        pending_stops_.insert(key);
-        continue;
-      }
-      if (run.last_hold_number >= hold) continue;
-      if (run.phase == RunPhase::kStopped) MarkLost(&run, "not_in_list");
-      if (run.phase != RunPhase::kActive) continue;
+  if (reply.finished.size() >= kMaxListedEnds) return;
+  std::set<job::RunKey> present;
+  for (const ActiveRun& it : reply.active) present.insert(it.run);
+  for (auto& [key, run] : worker->runs) {
+    if (present.contains(key)) continue;
+    if (!worker->reconciled && run.phase == RunPhase::kSent) {
+      // An earlier leader ordered this run, and its start order may still be in flight.
       run.phase = RunPhase::kUncertain;
       pending_stops_.insert(key);
+      continue;
     }
+    if (run.last_hold_number >= hold) continue;
+    if (run.phase == RunPhase::kStopped) MarkLost(&run, "not_in_list");
+    if (run.phase != RunPhase::kActive) continue;
+    run.phase = RunPhase::kUncertain;
+    pending_stops_.insert(key);
   }
   worker->reconciled = true;
 }
--- a/tests/dispatch/coordinator_runs_test.cpp
+++ b/tests/dispatch/coordinator_runs_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(NewIncarnation_RunsOfTheOldOne_StartAgain);
   CPPUNIT_TEST(NewLeader_WorkerNotReconciled_GetsNoStart);
   CPPUNIT_TEST(NewLeader_RecordedStartNotListed_IsStoppedFirst);
+  CPPUNIT_TEST(NewLeader_FirstListIncomplete_UnlistedStartIsStopped);
   CPPUNIT_TEST(Pending_StartNotConfirmed_StillCounts);
   CPPUNIT_TEST(DrainingWorker_WaitingTask_IsNotStartedThere);
   CPPUNIT_TEST(Gang_FitsOnlyPartly_StartsNothing);
@@ -379,6 +380,24 @@
     CPPUNIT_ASSERT(outbox_->holds.empty());
   }
 
+  // Guards against a run that a new leader never settles, because the first list that it read from
+  // the worker was too long to be complete.
+  void NewLeader_FirstListIncomplete_UnlistedStartIsStopped() {
+    StartOne("w1");
+    coordinator_->StepDown();
+    coordinator_->BecomeLeader(Fence(2));
+    CommitAll();
+    constexpr std::uint64_t kEnds = 500;
+    std::vector<FinishedRun> ends;
+    for (std::uint64_t i = 1; i <= kEnds; ++i) {
+      ends.push_back(EndOf({{{job::JobId("old"), 0, 0}, 0}, job::RunNumber(i)}, RunEnd::kDone, i));
+    }
+    AnswerHold("w1", {}, ends);
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+    AnswerHold("w1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+  }
+
   // Guards against two runs of a task under one number: its first worker restarted while the record
   // of the start was being committed.
   void Start_WorkerReplacedBeforeItIsDurable_TaskStartsOnce() {
