Apply the removal of a worker before its reports

What workers can see: a task that is started twice after a change of leader. Found by a review from reading.

A worker that is removed and reports again as the same incarnation within one batch was registered by the report and then removed by the older end. The leader went on with it, but the next leader did not find it among the registered workers and took its runs for lost.

Ends of incarnations now apply before reports. In the opposite case, a worker that reports and leaves within one batch, the next leader removes it after its silence.

CellStateTest::RegisteredWorker_RemovedAndReportedInOneBatch_IsKept fails with the order before and passes now.

--- a/src/job/batch_split.cpp
+++ b/src/job/batch_split.cpp
@@ -12,11 +12,11 @@
 // the lists are applied.
 template <typename Function>
 void ForEachList(CommandBatch* first, CommandBatch* second, Function function) {
-  function(&first->reports, &second->reports);
   function(&first->silences, &second->silences);
   function(&first->returned_incarnations, &second->returned_incarnations);
   function(&first->crashes, &second->crashes);
   function(&first->ended_incarnations, &second->ended_incarnations);
+  function(&first->reports, &second->reports);
   function(&first->submits, &second->submits);
   function(&first->ends, &second->ends);
   function(&first->cancels, &second->cancels);
--- a/src/job/cell_state.cpp
+++ b/src/job/cell_state.cpp
@@ -44,7 +44,6 @@
     ApplyConfig(batch);
     changes.config_changed = true;
   }
-  for (const WorkerReport& it : batch.reports) ApplyReport(it);
   for (const SilenceRecord& it : batch.silences) ApplySilence(it);
   for (const WorkerIncarnation& it : batch.returned_incarnations) RemoveSilences(it);
   for (const CrashRecord& it : batch.crashes) ApplyCrash(it, &changes);
@@ -55,6 +54,8 @@
       registered_workers_.erase(found);
     }
   }
+  // A worker that was removed may have reported again, also as the same incarnation.
+  for (const WorkerReport& it : batch.reports) ApplyReport(it);
   for (const SubmitRecord& it : batch.submits) ApplySubmit(it, &changes);
   for (const EndRecord& it : batch.ends) ApplyEnd(it, &changes);
   for (const CancelRecord& it : batch.cancels) ApplyCancel(it, &changes);
--- a/tests/job/cell_state_test.cpp
+++ b/tests/job/cell_state_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(EndedJob_RunsStayOpenUntilTheirEnd);
   CPPUNIT_TEST(Config_LowerVersion_ChangesNothing);
   CPPUNIT_TEST(RegisteredWorker_DelayedReadyReport_KeepsDraining);
+  CPPUNIT_TEST(RegisteredWorker_RemovedAndReportedInOneBatch_IsKept);
   CPPUNIT_TEST(Pending_FirstStartOrCancel_CountsDown);
   CPPUNIT_TEST(Pending_OnlyStartLost_CountsAgain);
   CPPUNIT_TEST(Pending_StartLostAfterProgress_DoesNotCount);
@@ -72,6 +73,22 @@
     book_.Apply(batch);
   }
 
+  // Guards against runs that a new leader takes for lost, because their worker is missing among the
+  // registered ones: it was removed and reported again within one batch.
+  void RegisteredWorker_RemovedAndReportedInOneBatch_IsKept() {
+    WorkerReport report;
+    report.incarnation = kWorker;
+    CommandBatch batch;
+    batch.reports.push_back(report);
+    book_.Apply(batch);
+    batch.ended_incarnations.push_back(kWorker);
+    book_.Apply(batch);
+    CPPUNIT_ASSERT(book_.registered_workers().contains(kWorker.worker));
+    batch.reports.clear();
+    book_.Apply(batch);
+    CPPUNIT_ASSERT(book_.registered_workers().empty());
+  }
+
   // Guards against a task that runs twice, because the run that was taken for lost had completed
   // it.
   void End_DoneOfLostRun_CompletesTask() {
