--- a/src/dispatch/coordinator_diagnosis.cpp
+++ b/src/dispatch/coordinator_diagnosis.cpp
@@ -5,7 +5,7 @@
 #include "dispatch/scheduling_pass.h"
 
 // The part of the coordinator that reports steps and workers that are passed over although the cell
-// has capacity. Changes nothing but the counts.
+// has capacity.
 namespace parsleyline::dispatch {
 namespace {
 
--- a/tests/dispatch/cell_simulation.cpp
+++ b/tests/dispatch/cell_simulation.cpp
@@ -48,7 +48,7 @@
   return OrderOutcome::kAccepted;
 }
 
-// Clients with lower numbers have higher names.
+// Clients with lower numbers have higher names, which a choice by name would prefer.
 NodeId Client(std::size_t number) {
   return NodeId(std::string(1, static_cast<char>('z' - number)));
 }
