--- a/review/standin/cell.cpp
+++ b/review/standin/cell.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
@@ -21,8 +22,8 @@
 constexpr std::size_t kFirstEntryIp = 11;
 constexpr std::size_t kFirstOtherIp = 101;
 constexpr std::uint16_t kFirstPort = 21'000;
-constexpr std::uint16_t kPortsPerRun = 10;
-constexpr std::uint16_t kPortRuns = 900;
+constexpr std::uint16_t kPortsPerRun = 20;
+constexpr std::uint16_t kPortRuns = 450;
 // Ports of a machine, counted from the base port.
 constexpr std::uint16_t kRpcPort = 0;
 constexpr std::uint16_t kProxiedRpcPort = 2;
@@ -30,6 +31,8 @@
 constexpr std::uint16_t kReadyPort = 5;
 constexpr std::uint16_t kControlPort = 6;
 constexpr std::uint16_t kOtherPort = 7;
+// The first of one internal port for each machine.
+constexpr std::uint16_t kOwnRpcPort = 8;
 constexpr Ms kStartTime{20'000};
 constexpr Ms kPoll{20};
 constexpr char kProgram[] = "target/platform/parsleyline-platform";
@@ -131,8 +134,7 @@
 
 json Cell::Settings(const Node& node) const {
   const auto port = [this](std::uint16_t offset) { return base_port_ + offset; };
-  const bool is_proxied = options_.has_proxied_entry && &node == &nodes_[kCores];
-  const std::uint16_t rpc = is_proxied ? kProxiedRpcPort : kRpcPort;
+  const std::uint16_t rpc = RpcOffset(static_cast<std::size_t>(&node - nodes_.data()));
   json seeds = json::array();
   for (std::size_t i = 0; i < kCores; ++i) seeds.push_back(Control(i).Text());
   const std::size_t number =
@@ -216,8 +218,62 @@
   _exit(127);
 }
 
+std::uint16_t Cell::RpcOffset(std::size_t node) const {
+  if (options_.has_links) return static_cast<std::uint16_t>(kOwnRpcPort + node);
+  return options_.has_proxied_entry && node == kCores ? kProxiedRpcPort : kRpcPort;
+}
+
+bool Cell::CreateLinks() {
+  for (std::size_t from = 0; options_.has_links && from < nodes_.size(); ++from) {
+    for (std::size_t to = 0; to < kCores; ++to) {
+      if (from == to) continue;
+      const auto port = [this](std::size_t node) {
+        return static_cast<std::uint16_t>(base_port_ + RpcOffset(node));
+      };
+      const std::string& ip = nodes_[to].ip;
+      links_.push_back(
+          {from, to, std::make_unique<Proxy>(Address{ip, port(from)}, Address{ip, port(to)})});
+      if (!links_.back().proxy->IsListening()) return false;
+    }
+  }
+  return true;
+}
+
+void Cell::CutZone(std::size_t core) {
+  record_.Add("network: the zone of " + nodes_[core].name + " is cut off");
+  // Machine `core` of the core and entry `core` are in one zone.
+  for (const Link& it : links_) {
+    if ((it.from % kCores == core) != (it.to == core)) it.proxy->Cut();
+  }
+}
+
+void Cell::HealLinks() {
+  record_.Add("network: the zone is joined again");
+  for (const Link& it : links_) {
+    it.proxy->Heal();
+    it.proxy->Deliver();
+  }
+}
+
+std::size_t Cell::FindLeader() const {
+  std::size_t leader = 0;
+  std::uint64_t newest = 0;
+  const std::string key = "event=lead fence=";
+  for (std::size_t i = 0; i < kCores; ++i) {
+    std::ifstream log(folder_ + '/' + nodes_[i].name + ".log");
+    for (std::string line; std::getline(log, line);) {
+      const auto at = line.find(key);
+      if (at == std::string::npos) continue;
+      const std::uint64_t fence = std::strtoull(line.c_str() + at + key.size(), nullptr, 10);
+      if (fence > newest) leader = i;
+      newest = std::max(newest, fence);
+    }
+  }
+  return leader;
+}
+
 bool Cell::Start() {
-  if (base_port_ == 0 || access(kProgram, X_OK) != 0) return false;
+  if (base_port_ == 0 || access(kProgram, X_OK) != 0 || !CreateLinks()) return false;
   for (Node& it : nodes_) Spawn(&it);
   for (const Node& it : nodes_) {
     if (it.is_core) continue;
--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "review/standin/net.h"
+#include "review/standin/proxy.h"
 #include "review/standin/record.h"
 #include "review/standin/worker.h"
 
@@ -26,6 +27,10 @@
     /// Whether the first entry machine calls the core machines through proxies, which listen at
     /// ProxiedRpc().
     bool has_proxied_entry = false;
+    /// Whether the links between the core machines, and from the entry machines to them, can be
+    /// cut. Each machine then has an internal port of its own, and proxies listen on it at the
+    /// others.
+    bool has_links = false;
   };
 
   Cell(Record& record, Options options);
@@ -50,8 +55,18 @@
 
   void SignalCore(std::size_t core, int signal);
   void SignalEntry(std::size_t entry, int signal);
+  /// Returns the core machine that has become the leader last, going by the logs.
+  std::size_t FindLeader() const;
+  /// Partitions a core machine, and the entry of its zone, from the other core machines.
+  void CutZone(std::size_t core);
+  void HealLinks();
 
  private:
+  struct Link {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::unique_ptr<Proxy> proxy;
+  };
   struct Node {
     std::string name;
     std::string ip;
@@ -59,6 +74,9 @@
     pid_t pid = -1;
   };
 
+  /// Number of a node's own internal port, counted from the base port.
+  std::uint16_t RpcOffset(std::size_t node) const;
+  bool CreateLinks();
   void Spawn(Node* node);
   void Signal(const Node& node, int signal);
   nlohmann::json Settings(const Node& node) const;
@@ -70,6 +88,7 @@
   std::string folder_;
   std::uint16_t base_port_ = 0;
   std::vector<Node> nodes_;
+  std::vector<Link> links_;
 };
 
 /// A step of a job.
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -160,6 +160,10 @@
 }
 
 bool Worker::Report(const Address& control) {
+  if (can_reach && !can_reach(control)) {
+    std::this_thread::sleep_for(kTick);
+    return false;
+  }
   Request request{"PUT", "/parsleyline/instances/" + settings_.id, {}, ""};
   request.headers["Content-Type"] = "application/json";
   {
--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -89,6 +89,8 @@
   /// Calls of the system that the worker answers only if this returns true; null for all. The
   /// argument is the fence number of the call.
   std::function<bool(std::uint64_t)> is_reachable;
+  /// Nodes that the worker can reach; null for all.
+  std::function<bool(const Address&)> can_reach;
 
  private:
   using RunId = std::pair<std::string, std::uint64_t>;
