--- a/review/standin/net.cpp
+++ b/review/standin/net.cpp
@@ -122,10 +122,16 @@
   if (listener_ >= 0) acceptor_ = std::thread([this] { Accept(); });
 }
 
-HttpServer::~HttpServer() {
+void HttpServer::Stop() {
   stopping_ = true;
+  if (listener_ >= 0) shutdown(listener_, SHUT_RDWR);
+  const std::lock_guard lock(mutex_);
+  for (const Connection& it : connections_) shutdown(it.socket, SHUT_RDWR);
+}
+
+HttpServer::~HttpServer() {
+  Stop();
   if (listener_ >= 0) {
-    shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
     close(listener_);
   }
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -51,6 +51,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   bool IsListening() const { return listener_ >= 0; }
+  /// Ends all connections without a response, as if the process were killed.
+  void Stop();
 
  private:
   struct Connection {
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -118,6 +118,7 @@
 
 void Worker::Stop(const char* how) {
   if (!running_.exchange(false)) return;
+  server_->Stop();
   {
     const std::lock_guard lock(mutex_);
     up_ = false;
@@ -160,10 +161,6 @@
 }
 
 bool Worker::Report(const Address& control) {
-  if (can_reach && !can_reach(control)) {
-    std::this_thread::sleep_for(kTick);
-    return false;
-  }
   Request request{"PUT", "/parsleyline/instances/" + settings_.id, {}, ""};
   request.headers["Content-Type"] = "application/json";
   {
@@ -223,10 +220,6 @@
 Response Worker::Handle(const Request& request) {
   const json body = json::parse(request.body, nullptr, false);
   if (!body.is_object()) return {400, ""};
-  if (is_reachable && !is_reachable(body.value("fencing-token", std::uint64_t{0}))) {
-    std::this_thread::sleep_for(kReportTimeout * 2);
-    return {503, ""};
-  }
   const auto expected = request.headers.find("x-parsleyline-expect-instance");
   if (expected != request.headers.end() && expected->second != settings_.id) {
     const std::lock_guard lock(mutex_);
--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -4,7 +4,6 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -86,11 +85,6 @@
   std::int64_t born() const { return born_; }
   const WorkerSettings& settings() const { return settings_; }
   std::size_t ActiveCount() const;
-  /// Calls of the system that the worker answers only if this returns true; null for all. The
-  /// argument is the fence number of the call.
-  std::function<bool(std::uint64_t)> is_reachable;
-  /// Nodes that the worker can reach; null for all.
-  std::function<bool(const Address&)> can_reach;
 
  private:
   using RunId = std::pair<std::string, std::uint64_t>;
