--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -118,10 +118,19 @@
   worker.clock_start = Now();
   worker.lease_end = Now();
   worker.sequence = 0;
+  // A new lifetime picks any of the control addresses first.
+  worker.next_control = static_cast<std::size_t>(worker.born);
   record_.Write("start of worker " + worker.id + " born " + std::to_string(worker.born));
   SendHeartbeat(number);
 }
 
+void Fleet::EndNow(std::size_t number, const std::string& task, std::uint64_t run,
+                   const std::string& how) {
+  if (!workers_[number].runs.contains({task, run})) return;
+  EndRun(number, {task, run}, how);
+  AnswerHold(number);
+}
+
 void Fleet::ExtendLease(Worker* worker, std::int64_t expires_at_ms) {
   const SteadyTime asked = worker->clock_start + milliseconds(expires_at_ms);
   worker->lease_end = std::max(worker->lease_end, std::min(asked, Now() + setup_.hold_max));
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -81,6 +81,9 @@
   void SetCut(std::size_t number, bool cut);
   /// Ends the lifetime of a worker with everything that runs there.
   void Crash(std::size_t number);
+  /// Lets an active run end now. `how` is `done` or `failed`.
+  void EndNow(std::size_t number, const std::string& task, std::uint64_t run,
+              const std::string& how);
   /// Starts the next lifetime under the same id and at the same address.
   void Restart(std::size_t number);
 
