Track the leases that a restarted worker took from orders to its predecessor

A lease ends at a time of the worker's clock, which begins at 0 with each incarnation. An order with an end on the clock of the earlier incarnation gives the later one a lease of hold-max-ms. The leader repeated such holds to a worker that did not answer, dropped the reply of the later incarnation, and tracked only its own leases of 5 s afterwards.

Holds to a worker that does not answer carry no lease. An incarnation that replaces another one counts as holding a lease of hold-max-ms from its first reply on, also for a new leader. A run whose start order only a later incarnation may have carried out waits for the end of such a lease; the clock in the start reply settles in most cases that it was the known one. So whatever lease the order gave to the later incarnation has ended before the task starts again.

--- a/src/cell/cell_core.cpp
+++ b/src/cell/cell_core.cpp
@@ -49,6 +49,12 @@
          text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
+dispatch::Policy PolicyOf(const CoreSettings& settings) {
+  dispatch::Policy policy;
+  policy.max_lease = settings.max_worker_lease;
+  return policy;
+}
+
 void ReplyWithCode(const transport::RpcResponseCallback& respond, ResultCode code) {
   if (code == ResultCode::kNotLeader || code == ResultCode::kOutcomeUnknown) {
     return respond(Fail(code, ""));
@@ -81,8 +87,8 @@
       peers_(peers),
       workers_(workers),
       advisor_(advisor),
-      coordinator_(
-          std::make_unique<dispatch::Coordinator>(state_, *this, clock_, &UnixNow, RandomNumber())),
+      coordinator_(std::make_unique<dispatch::Coordinator>(state_, *this, clock_, &UnixNow,
+                                                           RandomNumber(), PolicyOf(settings_))),
       group_(CreateRaftGroup()),
       timers_(std::make_unique<Timers>(io)) {}
 
--- a/src/cell/cell_core.h
+++ b/src/cell/cell_core.h
@@ -29,6 +29,8 @@
   bool bootstrap = false;
   /// Null for the file system of the operating system. Tests pass one that injects faults.
   raft::FileSystem* file_system = nullptr;
+  /// Longest lease that a worker takes.
+  Milliseconds max_worker_lease{10'000};
 };
 
 /// One replica of the cell's Raft log, with the coordinator, which is active while the replica
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -54,7 +54,8 @@
   for (const auto& [id, report] : cell_state_.registered_workers()) {
     Worker* worker = roster_.ApplyReport(report, now, ReportProof::kNone).worker;
     if (worker == nullptr) continue;
-    worker->lease_clock.AssumeLeaseAt(now);
+    worker->inherited_lease = LeaseOfEarlierLeaders(report.incarnation);
+    worker->lease_clock.AssumeLease(now, worker->inherited_lease);
     worker->lease_expired_under_run = cell_state_.IsSilent(report.incarnation);
   }
   for (const auto& [key, open] : cell_state_.open_runs()) RestoreRun(open);
@@ -145,6 +146,10 @@
 }
 
 void Coordinator::OnApplied(const job::CommandBatch& batch, const job::AppliedChanges& changes) {
+  for (const job::WorkerIncarnation& it : batch.ended_incarnations) registered_at_.erase(it);
+  for (const job::WorkerReport& it : batch.reports) {
+    registered_at_.try_emplace(it.incarnation, clock_.Now());
+  }
   if (!is_leader_) return;
   const bool is_own_batch =
       batch.proposer == proposer_ && batches_in_flight_.contains(batch.batch_number);
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -191,6 +191,8 @@
   void OnClaimReply(const HoldOrder& order, const HoldReply& reply);
   /// Adds the effect of an applied report to the next batch.
   void RecordReport(const WorkerRoster::ReportResult& result);
+  /// Returns the longest lease that a worker in the log may hold from orders of earlier leaders.
+  Milliseconds LeaseOfEarlierLeaders(const job::WorkerIncarnation& incarnation) const;
   /// Returns a run and its worker, or null.
   Run* FindRun(const job::RunKey& key, Worker** worker);
   /// Sends the start order of a start that has become durable.
@@ -275,6 +277,9 @@
     std::vector<job::WorkerIncarnation> contested;
   };
   std::map<job::WorkerIncarnation, Claim> claims_;
+  /// When the workers in the log were registered, as far as this process has seen it. Kept by all
+  /// replicas.
+  std::map<job::WorkerIncarnation, TimePoint> registered_at_;
   std::map<job::RunKey, WorkerId> worker_by_run_;
   /// Runs of tasks under which a worker has crashed.
   std::set<job::RunKey> suspects_;
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -64,6 +64,15 @@
   return worker.leave_received_at || (worker.draining && now >= worker.drain_end);
 }
 
+// Tells whether a run may be active on a later incarnation of its silent worker, from which nothing
+// has been heard.
+bool MayRunOnSuccessor(const Run& run, const Worker& worker, Milliseconds max_lease,
+                       TimePoint now) {
+  if (!run.may_be_on_successor) return false;
+  if (run.phase == RunPhase::kSent) return true;
+  return now < LatestLeaseEnd(std::max(worker.silent_since, run.start_settled_at), max_lease);
+}
+
 // Tells whether the reply to a hold proves that the incarnation it was sent to has ended. A hold
 // without an answer proves nothing.
 bool ProvesEnd(const HoldReply& reply, const job::WorkerIncarnation& incarnation) {
@@ -98,6 +107,15 @@
   if (job == nullptr || job->HasEnded()) RequestStop(&run);
 }
 
+// Only orders that were meant for an earlier incarnation of a worker give it more than kLease, and
+// it can have taken them only before its registration.
+Milliseconds Coordinator::LeaseOfEarlierLeaders(const job::WorkerIncarnation& incarnation) const {
+  const auto it = registered_at_.find(incarnation);
+  const bool have_others_ended =
+      it != registered_at_.end() && clock_.Now() >= LatestLeaseEnd(it->second, policy_.max_lease);
+  return have_others_ended ? kLease : std::max(kLease, policy_.max_lease);
+}
+
 void Coordinator::OnWorkerReport(const WorkerReport& report, CommitCallback done) {
   if (!is_leader_) return done(ResultCode::kNotLeader);
   if (report.incarnation.started_at.value() > unix_time_().value() + kMaxClockDifference.count()) {
@@ -154,6 +172,7 @@
     RecordIncarnationEnd(it, "replaced", !HasLeft(it, clock_.Now()));
   }
   const WorkerReport& report = result.worker->report;
+  if (!result.ended_incarnations.empty()) result.worker->inherited_lease = policy_.max_lease;
   Event("worker_noted")
       .With("worker", report.incarnation.worker)
       .With("born", report.incarnation.started_at)
@@ -271,8 +290,10 @@
           return it.second.phase == RunPhase::kStopped || it.second.phase == RunPhase::kUncertain ||
                  it.second.stop_requested;
         });
-    const WorkerMillis lease = worker.unanswered_holds == 0 ? worker.lease_clock.GrantLease(now)
-                                                            : worker.lease_clock.LongestLease();
+    // A worker that does not answer may have restarted. Its next incarnation would take the lease
+    // for its own, whose clock shows less.
+    const WorkerMillis lease =
+        worker.unanswered_holds == 0 ? worker.lease_clock.GrantLease(now) : WorkerMillis();
     HoldOrder order{worker.Address(),
                     lease,
                     fence_,
@@ -323,6 +344,7 @@
     std::size_t lost = 0;
     for (auto& [key, run] : worker.runs) {
       if (run.phase == RunPhase::kRecordingEnd || run.phase == RunPhase::kProposed) continue;
+      if (MayRunOnSuccessor(run, worker, policy_.max_lease, now)) continue;
       if (!has_left && MayHaveCrashed(run, worker, now)) {
         next_batch_.silences.push_back(
             {key.task, worker.report.incarnation, HadJustStarted(run, worker, now)});
@@ -386,6 +408,7 @@
   run->phase = RunPhase::kSent;
   run->ordered_at = clock_.Now();
   run->progressed_at = run->ordered_at;
+  run->may_be_on_successor = true;
   StartOrder order = std::move(pending->second);
   pending_starts_.erase(pending);
   order.lease_end = worker->lease_clock.GrantLease(clock_.Now());
@@ -397,8 +420,12 @@
   Worker* worker = nullptr;
   Run* run = is_leader_ ? FindRun(order.run, &worker) : nullptr;
   if (run == nullptr || worker->report.incarnation != order.to.incarnation) return;
+  run->start_settled_at = clock_.Now();
   if (reply.outcome == OrderOutcome::kAccepted) {
-    worker->lease_clock.RecordReading(reply.clock, clock_.Now());
+    if (worker->lease_clock.IsOwnReading(reply.clock, clock_.Now())) {
+      run->may_be_on_successor = false;
+      worker->lease_clock.RecordReading(reply.clock, clock_.Now());
+    }
     if (run->phase != RunPhase::kSent) return;
     run->phase = RunPhase::kActive;
     run->last_hold_number = worker->last_hold;
@@ -488,7 +515,7 @@
   run->stop_in_flight = false;
   run->next_stop = clock_.Now() + kStopRetryInterval;
   if (reply.outcome != OrderOutcome::kAccepted && reply.outcome != OrderOutcome::kStaleRun) return;
-  if (reply.outcome == OrderOutcome::kAccepted) {
+  if (worker->lease_clock.IsOwnReading(reply.clock, clock_.Now())) {
     worker->lease_clock.RecordReading(reply.clock, clock_.Now());
   }
   if (run->phase != RunPhase::kUncertain && run->phase != RunPhase::kActive) return;
@@ -531,6 +558,7 @@
     Event("worker_leave_outdated", Severity::kWarning).With("worker", worker->id());
   }
   worker->lease_clock.RecordReading(reply.clock, now);
+  if (!worker->reconciled) worker->lease_clock.AssumeLease(now, worker->inherited_lease);
   if (std::exchange(worker->lease_expired_under_run, false)) {
     next_batch_.returned_incarnations.push_back(worker->report.incarnation);
   }
@@ -625,6 +653,7 @@
     return;
   }
   Run& run = it->second;
+  run.may_be_on_successor = false;
   const bool has_progressed = run.percent != active.percent || run.checkpoint != active.checkpoint;
   run.percent = active.percent;
   run.percent_received_at = clock_.Now();
--- a/src/dispatch/lease_clock.cpp
+++ b/src/dispatch/lease_clock.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1000;
+// A reading arrives at most this long after it was taken, because calls time out before.
+constexpr Milliseconds kMaxReplyDelay{2000};
 
 // Returns the real time after which the slowest permitted clock has advanced by `span`.
 Duration OnSlowestClock(Duration span) {
@@ -15,6 +17,19 @@
 
 }  // namespace
 
+TimePoint LatestLeaseEnd(TimePoint granted_at, Milliseconds length) {
+  return granted_at + OnSlowestClock(length) + kLeaseMargin;
+}
+
+void LeaseClock::AssumeLease(TimePoint now, Milliseconds length) {
+  assumed_lease_end_ = std::max(assumed_lease_end_, LatestLeaseEnd(now, length));
+}
+
+bool LeaseClock::IsOwnReading(WorkerMillis reading, TimePoint received) const {
+  const Duration max_age_of_later = received - reading_received_ + kMaxReplyDelay;
+  return has_reading_ && Milliseconds(reading.value()) > max_age_of_later;
+}
+
 void LeaseClock::RecordReading(WorkerMillis reading, TimePoint received) {
   if (has_reading_ && reading < reading_) return;
   has_reading_ = true;
@@ -31,13 +46,10 @@
 }
 
 bool LeaseClock::HasExpired(TimePoint now) const {
-  if (assumed_lease_at_ != TimePoint() &&
-      now < assumed_lease_at_ + OnSlowestClock(kLease) + kLeaseMargin) {
-    return false;
-  }
+  if (now < assumed_lease_end_) return false;
   if (!has_reading_) return true;
   const Milliseconds left(longest_lease_.value() - reading_.value());
-  return now >= reading_received_ + OnSlowestClock(std::max(left, Milliseconds(0))) + kLeaseMargin;
+  return now >= LatestLeaseEnd(reading_received_, std::max(left, Milliseconds(0)));
 }
 
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/lease_clock.h
+++ b/src/dispatch/lease_clock.h
@@ -13,21 +13,26 @@
 /// Time after the expiry of a lease in which the worker ends its tasks.
 inline constexpr Milliseconds kLeaseMargin{300};
 
+/// Returns when a lease of `length` that a worker took at `granted_at` at the latest has certainly
+/// ended, with all runs under it.
+TimePoint LatestLeaseEnd(TimePoint granted_at, Milliseconds length);
+
 /// Tracks the clock of one incarnation of a worker and the longest lease granted to it. Leases end
 /// at a time of the worker's clock, so that the clocks need not be synchronized.
 class LeaseClock {
  public:
   /// Records a reading of the worker's clock that was received at `received`.
   void RecordReading(WorkerMillis reading, TimePoint received);
-  /// Assumes that an earlier leader granted a full lease at `now`.
-  void AssumeLeaseAt(TimePoint now) { assumed_lease_at_ = now; }
+  /// Assumes that orders which this leader did not send to this incarnation gave it a lease of
+  /// `length` at `now`.
+  void AssumeLease(TimePoint now, Milliseconds length);
 
   bool HasReading() const { return has_reading_; }
+  /// Tells whether only this incarnation, and no later one, can have sent `reading`, which was
+  /// received at `received`. A later one starts after the last known reading was taken.
+  bool IsOwnReading(WorkerMillis reading, TimePoint received) const;
   /// Grants a lease that begins now, and returns its end. Returns 0 before the first reading.
   WorkerMillis GrantLease(TimePoint now);
-  /// Returns the end of the longest lease that was granted, without extending it. For a worker that
-  /// does not answer, because attempts to reach it must not delay the expiry of its lease.
-  WorkerMillis LongestLease() const { return longest_lease_; }
   /// Tells whether all leases have expired even on the slowest permitted clock.
   bool HasExpired(TimePoint now) const;
 
@@ -38,8 +43,8 @@
   TimePoint reading_received_;
   /// Latest end of a granted lease.
   WorkerMillis longest_lease_;
-  /// When an earlier leader may have granted a lease.
-  TimePoint assumed_lease_at_;
+  /// When the leases that others may have granted have certainly ended.
+  TimePoint assumed_lease_end_;
 };
 
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/policy.h
+++ b/src/dispatch/policy.h
@@ -33,8 +33,8 @@
   kReserve,
 };
 
-/// Scheduling decisions that can be exchanged. The defaults are the ones in production; the other
-/// values are baselines that the load simulation compares with.
+/// Scheduling decisions that can be exchanged, and limits of the workers. The defaults are the ones
+/// in production; the other values are baselines that the load simulation compares with.
 struct Policy {
   SchedulingOrder order = SchedulingOrder::kExpectedOutcome;
   AdmissionRule admission_rule = AdmissionRule::kExpectedWait;
@@ -45,6 +45,9 @@
   /// Deducted from the slack of a gang for each of its tasks, so that the widest gangs get the
   /// limited reservations. They need many workers at once, and fit only with a reservation.
   Milliseconds gang_slack_deduction_per_task{40};
+  /// Longest lease that a worker takes. It shortens longer ones, such as one that was meant for its
+  /// earlier incarnation, whose clock showed more.
+  Milliseconds max_lease{10'000};
 };
 
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -41,6 +41,11 @@
   Milliseconds predicted_duration{0};
   /// When the start order was sent, or the start was proposed if it has not been sent yet.
   TimePoint ordered_at;
+  /// True if a later incarnation of the worker may have carried out the start order, because no
+  /// reply has shown which one did. Its lease is not known.
+  bool may_be_on_successor = false;
+  /// When the reply to the start order was received, or its lack was noticed.
+  TimePoint start_settled_at;
   /// Number of the last hold that was sent when the phase became kActive or kStopped. Only the
   /// reply to a later hold proves that the run is absent.
   std::uint64_t last_hold_number = 0;
@@ -69,6 +74,9 @@
   /// Small number of this incarnation, for tables by worker. Not used again until Clear().
   std::uint32_t slot = 0;
   LeaseClock lease_clock;
+  /// Longest lease that the worker may hold when it answers this leader for the first time, from
+  /// orders of an earlier leader or orders to its earlier incarnation.
+  Milliseconds inherited_lease{0};
   TimePoint last_report;
   /// When the last reply to a hold was received.
   TimePoint last_hold_reply;
--- a/tests/dispatch/coordinator_fixture.h
+++ b/tests/dispatch/coordinator_fixture.h
@@ -134,7 +134,7 @@
     HoldReply reply;
     reply.outcome = OrderOutcome::kAccepted;
     reply.started_at = job::UnixMillis(born);
-    reply.clock = WorkerMillis(UnixNow().value());
+    reply.clock = ClockOf(name);
     reply.active = std::move(active);
     reply.finished = std::move(finished);
     coordinator_->OnHoldReply(order, reply);
@@ -184,15 +184,24 @@
   }
 
   void Reply(const StartOrder& order, OrderOutcome outcome) {
-    coordinator_->OnStartReply(order, {outcome, WorkerMillis(UnixNow().value())});
+    coordinator_->OnStartReply(order, {outcome, ClockOf(order.to.incarnation.worker.value())});
     CommitAll();
   }
 
   void Reply(const StopOrder& order, OrderOutcome outcome) {
-    coordinator_->OnStopReply(order, {outcome, WorkerMillis(UnixNow().value())});
+    coordinator_->OnStopReply(order, {outcome, ClockOf(order.to.incarnation.worker.value())});
     CommitAll();
   }
 
+  /// Returns what the clock of a worker shows. It begins with its incarnation.
+  WorkerMillis ClockOf(const std::string& name) const {
+    const auto it = restarted_at_.find(name);
+    return WorkerMillis(UnixNow().value() - (it == restarted_at_.end() ? 0 : it->second.value()));
+  }
+
+  /// Has a worker start again under its id: its clock begins anew. Reports and answers nothing.
+  void RestartWorker(const std::string& name) { restarted_at_[name] = UnixNow(); }
+
   /// Starts a task on worker w1, which confirms it. Worker w2 has room for it as well.
   job::RunKey StartOnW1BesideW2() {
     AddWorker("w1");
@@ -253,6 +262,8 @@
   }
 
   ManualClock clock_;
+  /// When the last incarnation of a worker that restarted began.
+  std::map<std::string, job::UnixMillis> restarted_at_;
   std::unique_ptr<job::CellState> cell_state_;
   std::unique_ptr<RecordingOutbox> outbox_;
   std::unique_ptr<Coordinator> coordinator_;
--- /dev/null
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -0,0 +1,129 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "tests/dispatch/coordinator_fixture.h"
+
+namespace parsleyline::dispatch {
+
+/// Workers that start again under their id and address. Orders that were meant for the earlier
+/// incarnation reach the later one, which cannot tell them from its own.
+class WorkerRestartTest : public CoordinatorFixture {
+  CPPUNIT_TEST_SUITE(WorkerRestartTest);
+  CPPUNIT_TEST(Hold_WorkerDoesNotAnswer_CarriesNoLease);
+  CPPUNIT_TEST(Successor_CutOffAfterItsFirstReply_KeepsItsRunsForLongestLease);
+  CPPUNIT_TEST(Successor_CutOffUnderNewLeader_KeepsItsRunsForLongestLease);
+  CPPUNIT_TEST(Successor_RegisteredLongAgo_KeepsItsRunsForOneLeaseUnderNewLeader);
+  CPPUNIT_TEST(Start_AnsweredWithOtherClock_KeepsTheRunForLongestLease);
+  CPPUNIT_TEST(Start_AnsweredWithOwnClock_KeepsTheRunForOneLease);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a lease that the next incarnation takes without the leader knowing of it.
+  void Hold_WorkerDoesNotAnswer_CarriesNoLease() {
+    AddWorker("w1");
+    Advance(1000);
+    CPPUNIT_ASSERT(outbox_->holds.at(WorkerId("w1")).lease_end > WorkerMillis(0));
+    FailHold("w1");
+    Advance(300);
+    CPPUNIT_ASSERT_EQUAL(WorkerMillis(0), outbox_->holds.at(WorkerId("w1")).lease_end);
+  }
+
+  // Guards against a second run of a task while the first one is active under a lease that was
+  // meant for the earlier incarnation of its worker.
+  void Successor_CutOffAfterItsFirstReply_KeepsItsRunsForLongestLease() {
+    StartOnSuccessor();
+    FailHold("w1");
+    AssertStartsElsewhereAfter(kMaxLease);
+  }
+
+  // The same if another leader takes over in between.
+  void Successor_CutOffUnderNewLeader_KeepsItsRunsForLongestLease() {
+    StartOnSuccessor();
+    coordinator_->BecomeLeader(Fence(2));
+    AddWorker("w2");
+    FailHold("w1");
+    AssertStartsElsewhereAfter(kMaxLease);
+  }
+
+  void Successor_RegisteredLongAgo_KeepsItsRunsForOneLeaseUnderNewLeader() {
+    const job::RunKey run = StartOnSuccessor();
+    for (int i = 0; i < 20; ++i) {
+      Advance(1000);
+      AnswerHold("w1", {ActiveOf(run, static_cast<std::uint32_t>(i))}, {}, kSuccessor);
+      AnswerW2();
+    }
+    coordinator_->BecomeLeader(Fence(2));
+    AddWorker("w2");
+    FailHold("w1");
+    AssertStartsElsewhereAfter(kLease);
+  }
+
+  // Guards against a second run of a task while the first one is active on an incarnation of which
+  // the leader has not heard.
+  void Start_AnsweredWithOtherClock_KeepsTheRunForLongestLease() {
+    AddWorker("w1");
+    Advance(100);
+    RestartWorker("w1");
+    Submit("j", Spec(1, 1000));
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    AddWorker("w2");
+    FailHold("w1");
+    AssertStartsElsewhereAfter(kMaxLease);
+  }
+
+  void Start_AnsweredWithOwnClock_KeepsTheRunForOneLease() {
+    AddWorker("w1");
+    Submit("j", Spec(1, 1000));
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    AddWorker("w2");
+    FailHold("w1");
+    AssertStartsElsewhereAfter(kLease);
+  }
+
+ private:
+  static constexpr std::int64_t kSuccessor = 2;
+  static constexpr Milliseconds kMaxLease = Policy().max_lease;
+
+  void ReportSuccessor() {
+    RestartWorker("w1");
+    coordinator_->OnWorkerReport(Report("w1", 4000, kSuccessor), [](ResultCode) {});
+    CommitAll();
+  }
+
+  /// Starts a task on the second incarnation of w1, which lists it. w2 has room for it as well.
+  job::RunKey StartOnSuccessor() {
+    AddWorker("w1");
+    Advance(1000);
+    ReportSuccessor();
+    AnswerHold("w1", {}, {}, kSuccessor);
+    Submit("j", Spec(1, 1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    const job::RunKey run = outbox_->starts.back().run;
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    AddWorker("w2");
+    return run;
+  }
+
+  /// Checks that the only run, whose worker w1 is silent from now on, is started again when a lease
+  /// of this length that was taken now has ended, and not before.
+  void AssertStartsElsewhereAfter(Milliseconds lease) {
+    const Milliseconds latest =
+        std::chrono::duration_cast<Milliseconds>(LatestLeaseEnd(TimePoint(), lease) - TimePoint());
+    const std::size_t starts = outbox_->starts.size();
+    for (Milliseconds passed{0}; passed + Milliseconds(1000) < latest;
+         passed += Milliseconds(500)) {
+      Advance(500);
+      AnswerW2();
+      CPPUNIT_ASSERT_EQUAL(starts, outbox_->starts.size());
+    }
+    Advance(1500);
+    AnswerW2();
+    CPPUNIT_ASSERT_EQUAL(starts + 1, outbox_->starts.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerRestartTest);
+
+}  // namespace parsleyline::dispatch
