Let a restarted worker go on with the runs that it has accepted

The reply that confirms the later incarnation lists the run as active or ended, but the leader recorded all runs of the earlier one as lost without looking at the lists. It now moves the listed runs to the later incarnation. A new leader lets the lists settle runs that are recorded for an earlier incarnation, and a worker that leaves keeps runs that its successor lists. What the confirming reply does not list was lost with the earlier incarnation.

With the mechanisms switched off, five of the eight new tests of WorkerRestartTest fail; three hold behaviour that was right before.

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -189,6 +189,9 @@
   /// which of them exists.
   void QueryClaimant(const WorkerReport& report, const std::vector<WorkerId>& contested);
   void OnClaimReply(const HoldOrder& order, const HoldReply& reply);
+  /// Moves the runs of an ended incarnation that its successor lists in the reply to hold number
+  /// `hold`. The successor took their start orders for its own.
+  void MoveListedRuns(Worker* ended, Worker* successor, const HoldReply& reply, std::uint64_t hold);
   /// Adds the effect of an applied report to the next batch.
   void RecordReport(const WorkerRoster::ReportResult& result);
   /// Returns the longest lease that a worker in the log may hold from orders of earlier leaders.
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -73,6 +73,25 @@
   return now < LatestLeaseEnd(std::max(worker.silent_since, run.start_settled_at), max_lease);
 }
 
+// Returns the runs that a worker lists as active or finished.
+std::set<job::RunKey> ListedRuns(const HoldReply& reply) {
+  std::set<job::RunKey> listed;
+  for (const ActiveRun& it : reply.active) listed.insert(it.run);
+  for (const FinishedRun& it : reply.finished) listed.insert(it.run);
+  return listed;
+}
+
+// Tells whether the sender of `reply`, which is not this incarnation, may have any of its runs.
+bool MayHaveRunsOf(const Worker& worker, const HoldReply& reply) {
+  if (reply.outcome != OrderOutcome::kAccepted) return false;
+  const std::set<job::RunKey> listed = ListedRuns(reply);
+  return std::any_of(worker.runs.begin(), worker.runs.end(), [&listed](const auto& it) {
+    const bool is_unsettled =
+        it.second.phase == RunPhase::kSent || it.second.phase == RunPhase::kUncertain;
+    return is_unsettled || listed.contains(it.first);
+  });
+}
+
 // Tells whether the reply to a hold proves that the incarnation it was sent to has ended. A hold
 // without an answer proves nothing.
 bool ProvesEnd(const HoldReply& reply, const job::WorkerIncarnation& incarnation) {
@@ -92,11 +111,12 @@
 void Coordinator::RestoreRun(const job::OpenRun& open) {
   Worker* worker = roster_.Find(open.worker.worker);
   const job::RunKey key{open.task, open.run};
-  if (worker == nullptr || worker->report.incarnation != open.worker) {
-    // That incarnation has ended, and its runs with it.
+  if (worker == nullptr) {
+    // The worker has ended, and its runs with it.
     next_batch_.ends.push_back({open.task, open.run, job::RunEnd::kLost, {}});
     return;
   }
+  // The run may be of an earlier incarnation and have been moved to this one.
   Run& run = roster_.ChargeRun(worker, key, open.demand, open.flags);
   run.phase = RunPhase::kSent;
   run.ordered_at = clock_.Now();
@@ -217,7 +237,7 @@
   const job::WorkerIncarnation& incarnation = claim.report.incarnation;
   const bool answered =
       reply.outcome == OrderOutcome::kAccepted && reply.started_at == incarnation.started_at;
-  const WorkerRoster::ReportResult result =
+  WorkerRoster::ReportResult result =
       answered ? roster_.ApplyReport(claim.report, clock_.Now(), ReportProof::kAnswered)
                : WorkerRoster::ReportResult();
   if (result.worker == nullptr) {
@@ -230,12 +250,40 @@
   if (result.worker->draining) {
     result.worker->drain_end = clock_.Now() + claim.report.drain_remaining;
   }
+  for (Worker& it : result.ended_incarnations) {
+    if (it.id() == incarnation.worker) MoveListedRuns(&it, result.worker, reply, order.number);
+  }
   RecordReport(result);
   result.worker->hold_in_flight = true;
   result.worker->last_hold = order.number;
   OnHoldReply(order, reply);
 }
 
+void Coordinator::MoveListedRuns(Worker* ended, Worker* successor, const HoldReply& reply,
+                                 std::uint64_t hold) {
+  const std::set<job::RunKey> listed = ListedRuns(reply);
+  const bool is_complete = reply.finished.size() < kMaxListedEnds;
+  std::vector<job::RunKey> keys;
+  for (const auto& [key, run] : ended->runs) {
+    if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kRecordingEnd) continue;
+    if (!is_complete || listed.contains(key)) keys.push_back(key);
+  }
+  for (const job::RunKey& it : keys) {
+    Event("run_taken_over")
+        .With("run", it.task)
+        .With("number", it.run)
+        .With("worker", successor->id())
+        .With("born", successor->report.incarnation.started_at);
+    Run& run = WorkerRoster::MoveRun(ended, successor, it);
+    // A stop that the earlier incarnation has confirmed says nothing about this one.
+    run.phase = RunPhase::kActive;
+    run.last_hold_number = listed.contains(it) ? hold : 0;
+    run.stop_in_flight = false;
+    run.next_stop = TimePoint();
+    run.may_be_on_successor = false;
+  }
+}
+
 void Coordinator::OnWorkerLeave(const WorkerId& id, CommitCallback done) {
   if (!is_leader_) return done(ResultCode::kNotLeader);
   Worker* worker = roster_.Find(id);
@@ -537,7 +585,7 @@
   worker->hold_in_flight = false;
   const TimePoint now = clock_.Now();
   const bool proves_end = ProvesEnd(reply, worker->report.incarnation);
-  if (proves_end && worker->leave_received_at) {
+  if (proves_end && worker->leave_received_at && !MayHaveRunsOf(*worker, reply)) {
     RecordIncarnationEnd(*roster_.Remove(worker->id()), "left", false);
     return;
   }
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -150,4 +150,11 @@
   worker->runs.erase(it);
 }
 
+Run& WorkerRoster::MoveRun(Worker* from, Worker* to, const job::RunKey& key) {
+  const Run& run = to->runs.insert(from->runs.extract(key)).position->second;
+  from->charged -= run.demand;
+  to->charged += run.demand;
+  return to->runs.at(key);
+}
+
 }  // namespace parsleyline::dispatch
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -180,6 +180,8 @@
                  std::uint32_t flags);
   /// Removes a run and its charge.
   void ReleaseRun(Worker* worker, const job::RunKey& key);
+  /// Moves a run and its charge to another incarnation of its worker.
+  static Run& MoveRun(Worker* from, Worker* to, const job::RunKey& key);
 
   void Clear() { *this = WorkerRoster(); }
 
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -6,6 +6,8 @@
 
 namespace parsleyline::dispatch {
 
+using job::RunEnd;
+
 /// Workers that start again under their id and address. Orders that were meant for the earlier
 /// incarnation reach the later one, which cannot tell them from its own.
 class WorkerRestartTest : public CoordinatorFixture {
@@ -16,6 +18,14 @@
   CPPUNIT_TEST(Successor_RegisteredLongAgo_KeepsItsRunsForOneLeaseUnderNewLeader);
   CPPUNIT_TEST(Start_AnsweredWithOtherClock_KeepsTheRunForLongestLease);
   CPPUNIT_TEST(Start_AnsweredWithOwnClock_KeepsTheRunForOneLease);
+  CPPUNIT_TEST(Successor_ListsRunAsActive_ContinuesIt);
+  CPPUNIT_TEST(Successor_ListsRunAsDone_CompletesTheTask);
+  CPPUNIT_TEST(Successor_ListsRunAsFailed_CountsTheAttempt);
+  CPPUNIT_TEST(Successor_DoesNotListRun_StartsItElsewhere);
+  CPPUNIT_TEST(Successor_ListsRunThatIsBeingStopped_StopIsRepeated);
+  CPPUNIT_TEST(Successor_ListsGangPartly_StopsTheRest);
+  CPPUNIT_TEST(Successor_LeaveOfEarlierIncarnation_KeepsListedRuns);
+  CPPUNIT_TEST(Successor_UnderNewLeader_RunOfEarlierIncarnationIsSettledByItsLists);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -81,6 +91,100 @@
     AssertStartsElsewhereAfter(kLease);
   }
 
+  // Guards against a second run of a task while the first one is active: the next incarnation has
+  // accepted a start that was meant for the earlier one.
+  void Successor_ListsRunAsActive_ContinuesIt() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    ReportSuccessor();
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    Advance(200);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kDone, 1)}, kSuccessor);
+    CPPUNIT_ASSERT(PhaseOf("j") == job::JobPhase::kComplete);
+  }
+
+  // Guards against a start after the task was done.
+  void Successor_ListsRunAsDone_CompletesTheTask() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    ReportSuccessor();
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kDone, 1)}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT(PhaseOf("j") == job::JobPhase::kComplete);
+  }
+
+  // Guards against more attempts than the queue allows.
+  void Successor_ListsRunAsFailed_CountsTheAttempt() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    ReportSuccessor();
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kFailed, 1)}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, cell_state_->FindTask(run.task)->failures);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+  }
+
+  void Successor_DoesNotListRun_StartsItElsewhere() {
+    StartOnRestartedW1();
+    ReportSuccessor();
+    AnswerHold("w1", {}, {}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+  }
+
+  // Guards against a run that goes on although its job is cancelled, because the earlier
+  // incarnation has confirmed its stop.
+  void Successor_ListsRunThatIsBeingStopped_StopIsRepeated() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    coordinator_->Cancel(job::JobId("j"), [](ResultCode) {});
+    CommitAll();
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    Reply(outbox_->stops.back(), OrderOutcome::kAccepted);
+    ReportSuccessor();
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->stops.size());
+    CPPUNIT_ASSERT(outbox_->stops.back().to.incarnation.started_at == job::UnixMillis(kSuccessor));
+  }
+
+  void Successor_ListsGangPartly_StopsTheRest() {
+    AddWorker("w1");
+    Submit("g", Spec(2, 1000, static_cast<std::uint32_t>(job::StepFlag::kGang)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    ReportSuccessor();
+    AnswerHold("w1", {ActiveOf(outbox_->starts.front().run)}, {}, kSuccessor);
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+    CPPUNIT_ASSERT(outbox_->stops.front().run == outbox_->starts.front().run);
+  }
+
+  // The same as for a successor that has reported, if only its answer shows it.
+  void Successor_LeaveOfEarlierIncarnation_KeepsListedRuns() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    ReceiveLeave("w1");
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    ReportSuccessor();
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+  }
+
+  // Guards against a second run under a leader that finds the start recorded for an incarnation
+  // that has ended.
+  void Successor_UnderNewLeader_RunOfEarlierIncarnationIsSettledByItsLists() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    ReportSuccessor();
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    coordinator_->BecomeLeader(Fence(2));
+    CommitAll();
+    AnswerW2();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    CPPUNIT_ASSERT(outbox_->stops.empty());
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kDone, 1)}, kSuccessor);
+    CPPUNIT_ASSERT(PhaseOf("j") == job::JobPhase::kComplete);
+  }
+
  private:
   static constexpr std::int64_t kSuccessor = 2;
   static constexpr Milliseconds kMaxLease = Policy().max_lease;
@@ -91,6 +195,17 @@
     CommitAll();
   }
 
+  /// Sends a start to w1, which has restarted without the leader knowing of it. w2 has room for the
+  /// task as well.
+  StartOrder StartOnRestartedW1() {
+    AddWorker("w1");
+    Advance(1000);
+    Submit("j", Spec(1, 1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    AddWorker("w2");
+    return outbox_->starts.back();
+  }
+
   /// Starts a task on the second incarnation of w1, which lists it. w2 has room for it as well.
   job::RunKey StartOnSuccessor() {
     AddWorker("w1");
