Keep a run that was taken for lost charged until its worker lists its end

A worker could get more tasks than it can hold (LIMIT): the record of a lost run released its charge although the worker had listed the run as active in the meantime and was still stopping it.

The charge is released by the record of an end only if the run is waiting for that record. LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged failed before.

--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -155,7 +155,10 @@
       batch.proposer == proposer_ && batches_in_flight_.contains(batch.batch_number);
   std::set<job::JobId> changed_jobs(changes.accepted.begin(), changes.accepted.end());
   for (const job::EndRecord& it : changes.ends) {
-    RemoveRun({it.task, it.run});
+    Worker* worker = nullptr;
+    const Run* run = FindRun({it.task, it.run}, &worker);
+    // A run that was recorded as lost and is listed all the same stays charged until it has ended.
+    if (run == nullptr || run->phase == RunPhase::kRecordingEnd) RemoveRun({it.task, it.run});
     changed_jobs.insert(it.task.step.job);
   }
   for (const job::StartRecord& it : changes.starts) changed_jobs.insert(it.task.step.job);
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(Successor_ListsGangPartly_StopsTheRest);
   CPPUNIT_TEST(Successor_LeaveOfEarlierIncarnation_KeepsListedRuns);
   CPPUNIT_TEST(Successor_UnderNewLeader_RunOfEarlierIncarnationIsSettledByItsLists);
+  CPPUNIT_TEST(LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -185,6 +186,21 @@
     CPPUNIT_ASSERT(PhaseOf("j") == job::JobPhase::kComplete);
   }
 
+  // Guards against more tasks than a worker can hold: a run that is being stopped still counts.
+  void LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged() {
+    AddWorker("w1");
+    Submit("j", Spec(1, 4000));
+    const job::RunKey run = outbox_->starts.back().run;
+    ReportSuccessor();
+    AnswerHoldWithoutCommit("w1", {});
+    outbox_->holds.clear();
+    coordinator_->RunSchedulingPass();
+    AnswerHoldWithoutCommit("w1", {ActiveOf(run)});
+    CommitAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
+  }
+
  private:
   static constexpr std::int64_t kSuccessor = 2;
   static constexpr Milliseconds kMaxLease = Policy().max_lease;
@@ -206,6 +222,15 @@
     return outbox_->starts.back();
   }
 
+  void AnswerHoldWithoutCommit(const std::string& name, std::vector<ActiveRun> active) {
+    HoldReply reply;
+    reply.outcome = OrderOutcome::kAccepted;
+    reply.started_at = job::UnixMillis(kSuccessor);
+    reply.clock = ClockOf(name);
+    reply.active = std::move(active);
+    coordinator_->OnHoldReply(outbox_->holds.at(WorkerId(name)), reply);
+  }
+
   /// Starts a task on the second incarnation of w1, which lists it. w2 has room for it as well.
   job::RunKey StartOnSuccessor() {
     AddWorker("w1");
