Ignore clock readings of another incarnation in replies to starts and stops

The clock of a worker may begin at any value, not only at 0. A reply of a later incarnation whose clock was ahead of the earlier one's was recorded as a reading of that one. The end of the tracked lease then lay in the past, so that a run of a worker that fell silent started elsewhere at once, and a start that only the later incarnation had carried out counted as one of the known incarnation.

A reading is recorded only if it fits the known clock.

Start_AnsweredWithHigherClock_KeepsTheRunForLongestLease and LeaseClock_ReadingOfOtherIncarnation_IsRecognized fail without the comparison.

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -201,6 +201,8 @@
   /// Sends the start order of a start that has become durable.
   void SendStart(const job::StartRecord& record);
   void RemoveRun(const job::RunKey& key);
+  /// Records the clock reading in a reply if this incarnation of the worker has sent it.
+  ReadingOrigin RecordReading(Worker* worker, const OrderReply& reply);
   /// Marks the workers of runs under whose tasks workers have crashed. A worker gets no other tasks
   /// while a run that would be given up after the next crash is observed.
   void MarkSuspects(SchedulingPass* pass);
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -464,16 +464,20 @@
   outbox_.SendStart(order);
 }
 
+ReadingOrigin Coordinator::RecordReading(Worker* worker, const OrderReply& reply) {
+  const TimePoint now = clock_.Now();
+  const ReadingOrigin origin = worker->lease_clock.OriginOf(reply.clock, now);
+  if (origin == ReadingOrigin::kThis) worker->lease_clock.RecordReading(reply.clock, now);
+  return origin;
+}
+
 void Coordinator::OnStartReply(const StartOrder& order, const OrderReply& reply) {
   Worker* worker = nullptr;
   Run* run = is_leader_ ? FindRun(order.run, &worker) : nullptr;
   if (run == nullptr || worker->report.incarnation != order.to.incarnation) return;
   run->start_settled_at = clock_.Now();
   if (reply.outcome == OrderOutcome::kAccepted) {
-    if (worker->lease_clock.IsOwnReading(reply.clock, clock_.Now())) {
-      run->may_be_on_successor = false;
-      worker->lease_clock.RecordReading(reply.clock, clock_.Now());
-    }
+    if (RecordReading(worker, reply) == ReadingOrigin::kThis) run->may_be_on_successor = false;
     if (run->phase != RunPhase::kSent) return;
     run->phase = RunPhase::kActive;
     run->last_hold_number = worker->last_hold;
@@ -563,9 +567,7 @@
   run->stop_in_flight = false;
   run->next_stop = clock_.Now() + kStopRetryInterval;
   if (reply.outcome != OrderOutcome::kAccepted && reply.outcome != OrderOutcome::kStaleRun) return;
-  if (worker->lease_clock.IsOwnReading(reply.clock, clock_.Now())) {
-    worker->lease_clock.RecordReading(reply.clock, clock_.Now());
-  }
+  RecordReading(worker, reply);
   if (run->phase != RunPhase::kUncertain && run->phase != RunPhase::kActive) return;
   run->phase = RunPhase::kStopped;
   run->last_hold_number = worker->last_hold;
--- a/src/dispatch/lease_clock.cpp
+++ b/src/dispatch/lease_clock.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1000;
-// A reading arrives at most this long after it was taken, because calls time out before.
+// A reading arrives at most this long after it was taken, because calls time out before. Replies
+// may overtake each other.
 constexpr Milliseconds kMaxReplyDelay{2000};
 
 // Returns the real time after which the slowest permitted clock has advanced by `span`.
@@ -25,9 +26,16 @@
   assumed_lease_end_ = std::max(assumed_lease_end_, LatestLeaseEnd(now, length));
 }
 
-bool LeaseClock::IsOwnReading(WorkerMillis reading, TimePoint received) const {
-  const Duration max_age_of_later = received - reading_received_ + kMaxReplyDelay;
-  return has_reading_ && Milliseconds(reading.value()) > max_age_of_later;
+// The clock of another incarnation begins anew, mostly at a value that is far from this one's. If
+// it begins at 0, it shows less than the time since the last reading, before which it cannot have
+// started.
+ReadingOrigin LeaseClock::OriginOf(WorkerMillis reading, TimePoint received) const {
+  if (!has_reading_) return ReadingOrigin::kUnclear;
+  const Milliseconds advance(reading.value() - reading_.value());
+  const Duration max_advance = received - reading_received_ + kMaxReplyDelay;
+  if (advance < -kMaxReplyDelay || advance > max_advance) return ReadingOrigin::kOther;
+  return Milliseconds(reading.value()) > max_advance ? ReadingOrigin::kThis
+                                                     : ReadingOrigin::kUnclear;
 }
 
 void LeaseClock::RecordReading(WorkerMillis reading, TimePoint received) {
--- a/src/dispatch/lease_clock.h
+++ b/src/dispatch/lease_clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "base/clock.h"
 #include "dispatch/messages.h"
 
@@ -17,6 +19,14 @@
 /// ended, with all runs under it.
 TimePoint LatestLeaseEnd(TimePoint granted_at, Milliseconds length);
 
+/// Which incarnation of a worker has sent a reading of its clock.
+enum class ReadingOrigin : std::uint8_t {
+  kThis,
+  kOther,
+  /// The clocks of both may show it.
+  kUnclear,
+};
+
 /// Tracks the clock of one incarnation of a worker and the longest lease granted to it. Leases end
 /// at a time of the worker's clock, so that the clocks need not be synchronized.
 class LeaseClock {
@@ -28,9 +38,8 @@
   void AssumeLease(TimePoint now, Milliseconds length);
 
   bool HasReading() const { return has_reading_; }
-  /// Tells whether only this incarnation, and no later one, can have sent `reading`, which was
-  /// received at `received`. A later one starts after the last known reading was taken.
-  bool IsOwnReading(WorkerMillis reading, TimePoint received) const;
+  /// Tells which incarnation of the worker has sent `reading`, which was received at `received`.
+  ReadingOrigin OriginOf(WorkerMillis reading, TimePoint received) const;
   /// Grants a lease that begins now, and returns its end. Returns 0 before the first reading.
   WorkerMillis GrantLease(TimePoint now);
   /// Tells whether all leases have expired even on the slowest permitted clock.
--- a/tests/dispatch/coordinator_fixture.h
+++ b/tests/dispatch/coordinator_fixture.h
@@ -193,14 +193,17 @@
     CommitAll();
   }
 
-  /// Returns what the clock of a worker shows. It begins with its incarnation.
+  /// Returns what the clock of a worker shows.
   WorkerMillis ClockOf(const std::string& name) const {
-    const auto it = restarted_at_.find(name);
-    return WorkerMillis(UnixNow().value() - (it == restarted_at_.end() ? 0 : it->second.value()));
+    const auto it = clock_starts_.find(name);
+    return WorkerMillis(UnixNow().value() - (it == clock_starts_.end() ? 0 : it->second));
   }
 
-  /// Has a worker start again under its id: its clock begins anew. Reports and answers nothing.
-  void RestartWorker(const std::string& name) { restarted_at_[name] = UnixNow(); }
+  /// Has a worker start again under its id: its clock begins anew, at `clock`. Reports and answers
+  /// nothing.
+  void RestartWorker(const std::string& name, std::int64_t clock = 0) {
+    clock_starts_[name] = UnixNow().value() - clock;
+  }
 
   /// Starts a task on worker w1, which confirms it. Worker w2 has room for it as well.
   job::RunKey StartOnW1BesideW2() {
@@ -262,8 +265,9 @@
   }
 
   ManualClock clock_;
-  /// When the last incarnation of a worker that restarted began.
-  std::map<std::string, job::UnixMillis> restarted_at_;
+  /// When the clock of the last incarnation of a worker showed 0, in Unix milliseconds. 0 if the
+  /// worker is not named.
+  std::map<std::string, std::int64_t> clock_starts_;
   std::unique_ptr<job::CellState> cell_state_;
   std::unique_ptr<RecordingOutbox> outbox_;
   std::unique_ptr<Coordinator> coordinator_;
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -17,7 +17,9 @@
   CPPUNIT_TEST(Successor_CutOffUnderNewLeader_KeepsItsRunsForLongestLease);
   CPPUNIT_TEST(Successor_RegisteredLongAgo_KeepsItsRunsForOneLeaseUnderNewLeader);
   CPPUNIT_TEST(Start_AnsweredWithOtherClock_KeepsTheRunForLongestLease);
+  CPPUNIT_TEST(Start_AnsweredWithHigherClock_KeepsTheRunForLongestLease);
   CPPUNIT_TEST(Start_AnsweredWithOwnClock_KeepsTheRunForOneLease);
+  CPPUNIT_TEST(LeaseClock_ReadingOfOtherIncarnation_IsRecognized);
   CPPUNIT_TEST(Successor_ListsRunAsActive_ContinuesIt);
   CPPUNIT_TEST(Successor_ListsRunAsDone_CompletesTheTask);
   CPPUNIT_TEST(Successor_ListsRunAsFailed_CountsTheAttempt);
@@ -76,11 +78,15 @@
     AddWorker("w1");
     Advance(100);
     RestartWorker("w1");
-    Submit("j", Spec(1, 1000));
-    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
-    AddWorker("w2");
-    FailHold("w1");
-    AssertStartsElsewhereAfter(kMaxLease);
+    AssertRunIsKeptForLongestLease();
+  }
+
+  // The same if the clock does not begin at 0.
+  void Start_AnsweredWithHigherClock_KeepsTheRunForLongestLease() {
+    AddWorker("w1");
+    Advance(100);
+    RestartWorker("w1", 2 * UnixNow().value());
+    AssertRunIsKeptForLongestLease();
   }
 
   void Start_AnsweredWithOwnClock_KeepsTheRunForOneLease() {
@@ -92,6 +98,24 @@
     AssertStartsElsewhereAfter(kLease);
   }
 
+  void LeaseClock_ReadingOfOtherIncarnation_IsRecognized() {
+    constexpr std::int64_t kReading = 100'000;
+    LeaseClock clock;
+    const TimePoint now = clock_.Now();
+    clock.RecordReading(WorkerMillis(kReading), now);
+    const auto origin_of = [&](std::int64_t advance) {
+      return clock.OriginOf(WorkerMillis(kReading + advance), now + Milliseconds(1000));
+    };
+    CPPUNIT_ASSERT(origin_of(1000) == ReadingOrigin::kThis);
+    CPPUNIT_ASSERT(origin_of(-500) == ReadingOrigin::kThis);
+    CPPUNIT_ASSERT(origin_of(10'000) == ReadingOrigin::kOther);
+    CPPUNIT_ASSERT(origin_of(-10'000) == ReadingOrigin::kOther);
+    LeaseClock young;
+    young.RecordReading(WorkerMillis(500), now);
+    CPPUNIT_ASSERT(young.OriginOf(WorkerMillis(900), now + Milliseconds(1000)) ==
+                   ReadingOrigin::kUnclear);
+  }
+
   // Guards against a second run of a task while the first one is active: the next incarnation has
   // accepted a start that was meant for the earlier one.
   void Successor_ListsRunAsActive_ContinuesIt() {
@@ -205,6 +229,16 @@
   static constexpr std::int64_t kSuccessor = 2;
   static constexpr Milliseconds kMaxLease = Policy().max_lease;
 
+  /// Checks that a start which w1 answers with its present clock counts as active until the longest
+  /// possible lease has ended.
+  void AssertRunIsKeptForLongestLease() {
+    Submit("j", Spec(1, 1000));
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    AddWorker("w2");
+    FailHold("w1");
+    AssertStartsElsewhereAfter(kMaxLease);
+  }
+
   void ReportSuccessor() {
     RestartWorker("w1");
     coordinator_->OnWorkerReport(Report("w1", 4000, kSuccessor), [](ResultCode) {});
