Give each incarnation of a worker a fence of its own

An order that was meant for an earlier incarnation of a worker was accepted by the next one under the same id, also seconds after the leader had adopted it: it started a run that no list had shown, extended the lease, or stopped a run.

The leader gives each incarnation that it adopts a higher fence, beginning with the hold that confirms it. A worker refuses lower fences than it has seen, so that earlier orders have no effect from that hold on, and its lists show what they had done before. Log lines name the term of a leader in place of its fence.

Four of the five new tests of WorkerRestartTest fail if the count does not rise; the fifth holds the layout of the number.

--- a/src/cell/cell_core.cpp
+++ b/src/cell/cell_core.cpp
@@ -232,7 +232,7 @@
 void CellCore::OnRoleChange(raft::Role role, Term term) {
   Event("role").With("role", static_cast<int>(role)).With("term", term);
   if (role == raft::Role::kLeader) {
-    coordinator_->BecomeLeader(dispatch::Fence(term.value()));
+    coordinator_->BecomeLeader(dispatch::FirstFence(term.value()));
   } else {
     coordinator_->StepDown();
   }
--- a/src/dispatch/coordinator.cpp
+++ b/src/dispatch/coordinator.cpp
@@ -48,12 +48,14 @@
   StepDown();
   is_leader_ = true;
   fence_ = fence;
+  last_fence_ = fence;
   const TimePoint now = clock_.Now();
   last_tick_ = now;
   is_confirming_leadership_ = false;
   for (const auto& [id, report] : cell_state_.registered_workers()) {
     Worker* worker = roster_.ApplyReport(report, now, ReportProof::kNone).worker;
     if (worker == nullptr) continue;
+    worker->fence = fence_;
     worker->inherited_lease = LeaseOfEarlierLeaders(report.incarnation);
     worker->lease_clock.AssumeLease(now, worker->inherited_lease);
     worker->lease_expired_under_run = cell_state_.IsSilent(report.incarnation);
@@ -67,7 +69,7 @@
     }
   }
   Event("lead")
-      .With("fence", fence)
+      .With("term", TermOf(fence))
       .With("workers", roster_.workers().size())
       .With("open_runs", cell_state_.open_runs().size())
       .With("waiting_steps", waiting_steps_.size())
@@ -77,7 +79,7 @@
 
 void Coordinator::StepDown() {
   if (is_leader_) {
-    Event("resign").With("fence", fence_).With("batches_unknown", batches_in_flight_.size());
+    Event("resign").With("term", TermOf(fence_)).With("batches_unknown", batches_in_flight_.size());
   }
   is_leader_ = false;
   roster_.Clear();
@@ -123,7 +125,7 @@
   } else if (proposal == ProposalResult::kNotLeader) {
     StepDown();
   } else if (proposal == ProposalResult::kTooLarge) {
-    Event("record_too_large", Severity::kError).With("fence", fence_);
+    Event("record_too_large", Severity::kError).With("term", TermOf(fence_));
     const auto callbacks = std::move(batches_in_flight_.extract(number).mapped());
     for (const CommitCallback& it : callbacks) it(ResultCode::kOutcomeUnknown);
   } else if (!next_batch_.IsEmpty()) {
@@ -282,7 +284,7 @@
   if (!is_leader_) return;
   const TimePoint now = clock_.Now();
   if (now - std::exchange(last_tick_, now) > kSuspensionThreshold && !is_confirming_leadership_) {
-    Event("stood_still", Severity::kWarning).With("fence", fence_);
+    Event("stood_still", Severity::kWarning).With("term", TermOf(fence_));
     is_confirming_leadership_ = true;
     CallWhenDurable([this](ResultCode) { is_confirming_leadership_ = false; });
   }
--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -77,7 +77,8 @@
   ~Coordinator();
 
   /// Starts to schedule with what earlier leaders recorded. To be called when this process has
-  /// become the leader and all committed batches are applied.
+  /// become the leader and all committed batches are applied. `fence` is the lowest fence of this
+  /// leader.
   void BecomeLeader(Fence fence);
   /// Stops scheduling. Pending callbacks are called with kOutcomeUnknown.
   void StepDown();
@@ -185,6 +186,7 @@
   void Quarantine(Worker* worker, const char* reason);
   /// Tells whether the configuration in force, if there is one, has a pool.
   bool IsPoolConfigured(const job::PoolId& pool) const;
+  Fence NextFence();
   /// Sends a hold to the incarnation of a report that contests known workers. Its reply settles
   /// which of them exists.
   void QueryClaimant(const WorkerReport& report, const std::vector<WorkerId>& contested);
@@ -273,12 +275,15 @@
   const Policy policy_;
 
   bool is_leader_ = false;
+  /// The lowest fence of this leader, and the last one that it has used.
   Fence fence_;
+  Fence last_fence_;
   WorkerRoster roster_;
   /// A reported incarnation that exists only if known workers have ended.
   struct Claim {
     WorkerReport report;
     std::uint64_t hold_number = 0;
+    Fence fence;
     std::vector<job::WorkerIncarnation> contested;
   };
   std::map<job::WorkerIncarnation, Claim> claims_;
--- a/src/dispatch/coordinator_schedule.cpp
+++ b/src/dispatch/coordinator_schedule.cpp
@@ -468,7 +468,6 @@
   order.payload = job->spec.payload;
   order.checkpoint = checkpoint;
   order.ticket = waiting->decisions.UsableTicket(worker->slot, pass->now);
-  order.fence = fence_;
   pending_starts_[key] = std::move(order);
   next_batch_.starts.push_back({key.task, key.run, worker->report.incarnation});
   Event("start")
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -192,6 +192,7 @@
     RecordIncarnationEnd(it, "replaced", !HasLeft(it, clock_.Now()));
   }
   const WorkerReport& report = result.worker->report;
+  if (result.worker->fence == Fence()) result.worker->fence = NextFence();
   if (!result.ended_incarnations.empty()) result.worker->inherited_lease = policy_.max_lease;
   Event("worker_noted")
       .With("worker", report.incarnation.worker)
@@ -204,11 +205,17 @@
   next_batch_.reports.push_back(report);
 }
 
+Fence Coordinator::NextFence() {
+  last_fence_ = Fence(last_fence_.value() + 1);
+  return last_fence_;
+}
+
 void Coordinator::QueryClaimant(const WorkerReport& report,
                                 const std::vector<WorkerId>& contested) {
   Claim& claim = claims_[report.incarnation];
   claim.report = report;
   claim.hold_number = next_hold_number_++;
+  claim.fence = NextFence();
   for (const WorkerId& id : contested) {
     Worker* worker = roster_.Find(id);
     ++worker->open_claims;
@@ -222,7 +229,7 @@
   }
   HoldOrder order;
   order.to = {report.incarnation, report.address};
-  order.fence = fence_;
+  order.fence = claim.fence;
   order.number = claim.hold_number;
   outbox_.SendHold(order);
 }
@@ -231,7 +238,10 @@
   const Claim claim = std::move(claims_.extract(order.to.incarnation).mapped());
   for (const job::WorkerIncarnation& it : claim.contested) {
     Worker* worker = roster_.Find(it.worker);
-    if (worker != nullptr && worker->report.incarnation == it) --worker->open_claims;
+    if (worker == nullptr || worker->report.incarnation != it) continue;
+    --worker->open_claims;
+    // If it has accepted the hold itself, it refuses orders with the fence that it had.
+    if (it.worker == claim.report.incarnation.worker) worker->fence = NextFence();
   }
   outbox_.RequestSchedulingPass();
   const job::WorkerIncarnation& incarnation = claim.report.incarnation;
@@ -247,6 +257,7 @@
         .With("outcome", Name(reply.outcome));
     return;
   }
+  result.worker->fence = claim.fence;
   if (result.worker->draining) {
     result.worker->drain_end = clock_.Now() + claim.report.drain_remaining;
   }
@@ -344,7 +355,7 @@
         worker.unanswered_holds == 0 ? worker.lease_clock.GrantLease(now) : WorkerMillis();
     HoldOrder order{worker.Address(),
                     lease,
-                    fence_,
+                    worker.fence,
                     worker.recorded_end,
                     has_uncertain_run ? kMaxHoldWaitWhileUncertain : kMaxHoldWait,
                     worker.last_hold};
@@ -372,7 +383,7 @@
         .With("run", run->key.task)
         .With("number", run->key.run)
         .With("worker", worker->id());
-    outbox_.SendStop({worker->Address(), run->key, fence_});
+    outbox_.SendStop({worker->Address(), run->key, worker->fence});
   }
 }
 
@@ -459,6 +470,7 @@
   run->may_be_on_successor = true;
   StartOrder order = std::move(pending->second);
   pending_starts_.erase(pending);
+  order.fence = worker->fence;
   order.lease_end = worker->lease_clock.GrantLease(clock_.Now());
   ++counts_.starts;
   outbox_.SendStart(order);
@@ -574,7 +586,7 @@
 }
 
 void Coordinator::OnHoldReply(const HoldOrder& order, const HoldReply& reply) {
-  if (is_leader_ && order.fence == fence_) {
+  if (is_leader_) {
     const auto claim = claims_.find(order.to.incarnation);
     if (claim != claims_.end() && claim->second.hold_number == order.number) {
       return OnClaimReply(order, reply);
@@ -583,7 +595,7 @@
   Worker* worker = is_leader_ ? roster_.Find(order.to.incarnation.worker) : nullptr;
   if (worker == nullptr || worker->report.incarnation != order.to.incarnation) return;
   // The hold of a worker that was removed and added again may still be answered.
-  if (order.fence != fence_ || order.number != worker->last_hold) return;
+  if (order.number != worker->last_hold) return;
   worker->hold_in_flight = false;
   const TimePoint now = clock_.Now();
   const bool proves_end = ProvesEnd(reply, worker->report.incarnation);
@@ -599,6 +611,10 @@
           .With("outcome",
                 reply.outcome == OrderOutcome::kAccepted ? "other_lifetime" : Name(reply.outcome));
     }
+    // It has accepted a hold that was meant for another incarnation.
+    if (reply.outcome == OrderOutcome::kFenced && worker->fence < last_fence_) {
+      worker->fence = NextFence();
+    }
     worker->next_hold =
         now + (worker->leave_received_at ? kLeavingHoldRetryInterval : kHoldRetryInterval);
     return;
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -15,9 +15,14 @@
 
 /// Milliseconds on the steady clock of one incarnation of a worker.
 using WorkerMillis = StrongId<struct WorkerMillisTag, std::int64_t>;
-/// Fencing token. Increases with each leader; workers refuse orders with a lower one than they have
-/// seen.
+/// Fencing token. Increases with each leader, and with each incarnation of a worker that a leader
+/// adopts; workers refuse orders with a lower one than they have seen.
 using Fence = StrongId<struct FenceTag, std::uint64_t>;
+/// Lower bits of a fence, which a leader counts up. The upper ones hold its term.
+inline constexpr unsigned kFenceCountBits = 24;
+/// Returns the lowest fence of the leader of a term.
+inline Fence FirstFence(std::uint64_t term) { return Fence(term << kFenceCountBits); }
+inline std::uint64_t TermOf(Fence fence) { return fence.value() >> kFenceCountBits; }
 /// Number of a finished run in the list of one incarnation of a worker. Increases with each end.
 using EndNumber = StrongId<struct EndNumberTag, std::uint64_t>;
 
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -73,6 +73,10 @@
   WorkerReport report;
   /// Small number of this incarnation, for tables by worker. Not used again until Clear().
   std::uint32_t slot = 0;
+  /// Fence of the orders to this incarnation. Higher than that of all orders that were meant for an
+  /// earlier one, so that these have no effect once the worker has accepted a hold. 0 until the
+  /// incarnation is adopted.
+  Fence fence;
   LeaseClock lease_clock;
   /// Longest lease that the worker may hold when it answers this leader for the first time, from
   /// orders of an earlier leader or orders to its earlier incarnation.
--- a/tests/dispatch/cell_simulation.cpp
+++ b/tests/dispatch/cell_simulation.cpp
@@ -191,7 +191,7 @@
   for (const auto& it : candidates) CatchUp(it);
   leader_->leadership = ++term_;
   ++leader_changes_;
-  leader_->coordinator->BecomeLeader(Fence(term_));
+  leader_->coordinator->BecomeLeader(FirstFence(term_));
 }
 
 // Entries that were proposed and not committed are lost, or the first of them are part of the next
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
 #include "tests/dispatch/coordinator_fixture.h"
@@ -28,6 +29,11 @@
   CPPUNIT_TEST(Successor_ListsGangPartly_StopsTheRest);
   CPPUNIT_TEST(Successor_LeaveOfEarlierIncarnation_KeepsListedRuns);
   CPPUNIT_TEST(Successor_UnderNewLeader_RunOfEarlierIncarnationIsSettledByItsLists);
+  CPPUNIT_TEST(Successor_Adopted_OrdersHaveHigherFence);
+  CPPUNIT_TEST(Successor_ReplacesWorkerWithoutRuns_OrdersHaveHigherFence);
+  CPPUNIT_TEST(Successor_NotConfirmed_WorkerGetsHigherFence);
+  CPPUNIT_TEST(Successor_AcceptedHoldForAnother_GetsHigherFence);
+  CPPUNIT_TEST(Fence_OfNextTerm_IsHigherThanAllBefore);
   CPPUNIT_TEST(LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged);
   CPPUNIT_TEST_SUITE_END();
 
@@ -210,6 +216,72 @@
     CPPUNIT_ASSERT(PhaseOf("j") == job::JobPhase::kComplete);
   }
 
+  // Guards against a start or a lease that was meant for the earlier incarnation and is carried out
+  // by the later one seconds after that one was adopted.
+  void Successor_Adopted_OrdersHaveHigherFence() {
+    const Fence earlier = StartOnRestartedW1().fence;
+    ReportSuccessor();
+    const Fence first = outbox_->holds.at(WorkerId("w1")).fence;
+    CPPUNIT_ASSERT(first > earlier);
+    AnswerHold("w1", {}, {}, kSuccessor);
+    Advance(100);
+    CPPUNIT_ASSERT(outbox_->holds.at(WorkerId("w1")).fence >= first);
+    Submit("next", Spec(8, 1000));
+    const auto is_for_successor = [](const StartOrder& it) {
+      return it.to.incarnation.started_at == job::UnixMillis(kSuccessor);
+    };
+    const auto start =
+        std::find_if(outbox_->starts.begin(), outbox_->starts.end(), is_for_successor);
+    CPPUNIT_ASSERT(start != outbox_->starts.end() && start->fence >= first);
+  }
+
+  void Successor_ReplacesWorkerWithoutRuns_OrdersHaveHigherFence() {
+    AddWorker("w1");
+    Advance(1000);
+    FailHold("w1");
+    const Fence earlier = outbox_->holds.at(WorkerId("w1")).fence;
+    ReportSuccessor();
+    CPPUNIT_ASSERT(outbox_->holds.at(WorkerId("w1")).to.incarnation.started_at ==
+                   job::UnixMillis(kSuccessor));
+    CPPUNIT_ASSERT(outbox_->holds.at(WorkerId("w1")).fence > earlier);
+  }
+
+  // Guards against a worker that refuses all orders after a report of another writer, because it
+  // has accepted the hold that was to confirm the report.
+  void Successor_NotConfirmed_WorkerGetsHigherFence() {
+    AddWorker("w1");
+    Advance(1000);
+    const HoldOrder in_flight = outbox_->holds.at(WorkerId("w1"));
+    coordinator_->OnWorkerReport(Report("w1", 4000, kSuccessor), [](ResultCode) {});
+    CommitAll();
+    const Fence claim = outbox_->holds.at(WorkerId("w1")).fence;
+    AnswerHold("w1");
+    outbox_->holds[WorkerId("w1")] = in_flight;
+    AnswerHold("w1");
+    Advance(100);
+    CPPUNIT_ASSERT(outbox_->holds.at(WorkerId("w1")).fence > claim);
+  }
+
+  // The same if the reports of several incarnations are settled in another order.
+  void Successor_AcceptedHoldForAnother_GetsHigherFence() {
+    AddWorker("w1");
+    ReportSuccessor();
+    AnswerHold("w1", {}, {}, kSuccessor);
+    coordinator_->OnWorkerReport(Report("other", 4000, 1), [](ResultCode) {});
+    CommitAll();
+    const Fence highest = outbox_->holds.at(WorkerId("other")).fence;
+    Advance(100);
+    FailHold("w1", OrderOutcome::kFenced);
+    Advance(300);
+    CPPUNIT_ASSERT(outbox_->holds.at(WorkerId("w1")).fence > highest);
+  }
+
+  void Fence_OfNextTerm_IsHigherThanAllBefore() {
+    constexpr std::uint64_t kManyRestarts = 1'000'000;
+    CPPUNIT_ASSERT(FirstFence(8) > Fence(FirstFence(7).value() + kManyRestarts));
+    CPPUNIT_ASSERT(FirstFence(8) > FirstFence(7));
+  }
+
   // Guards against more tasks than a worker can hold: a run that is being stopped still counts.
   void LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged() {
     AddWorker("w1");
