Acknowledge ends once, and not to a worker that does not answer

Each hold repeated the number of the last recorded end. Numbers begin anew with each incarnation of a worker, so that a restarted worker which had already ended runs removed their ends before the leader had read them: the runs were taken for lost and started again.

A hold names a number only until the worker has accepted it, and none while the worker does not answer.

Both new tests of WorkerRestartTest fail with the number repeated.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -350,13 +350,14 @@
                  it.second.stop_requested;
         });
     // A worker that does not answer may have restarted. Its next incarnation would take the lease
-    // for its own, whose clock shows less.
-    const WorkerMillis lease =
-        worker.unanswered_holds == 0 ? worker.lease_clock.GrantLease(now) : WorkerMillis();
+    // for its own, whose clock shows less, and remove ends that have not been read.
+    const bool answers = worker.unanswered_holds == 0;
+    const WorkerMillis lease = answers ? worker.lease_clock.GrantLease(now) : WorkerMillis();
+    const bool acknowledges = answers && worker.recorded_end > worker.acknowledged_end;
     HoldOrder order{worker.Address(),
                     lease,
                     worker.fence,
-                    worker.recorded_end,
+                    acknowledges ? worker.recorded_end : EndNumber(),
                     has_uncertain_run ? kMaxHoldWaitWhileUncertain : kMaxHoldWait,
                     worker.last_hold};
     // The first hold reads the lists and the clock without waiting for a run to end.
@@ -629,6 +630,7 @@
     next_batch_.returned_incarnations.push_back(worker->report.incarnation);
   }
   worker->unanswered_holds = 0;
+  worker->acknowledged_end = std::max(worker->acknowledged_end, order.acknowledged);
   worker->last_hold_reply = now;
   worker->next_hold = now;
   ReconcileRuns(worker, reply, worker->last_hold);
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -62,7 +62,8 @@
   WorkerAddress to;
   WorkerMillis lease_end;
   Fence fence;
-  /// The ends up to this number are durable, and the worker may remove them from its list.
+  /// The ends up to this number are durable, and the worker may remove them from its list. 0 if it
+  /// has been told so.
   EndNumber acknowledged;
   /// The worker answers after this time, or earlier when a run ends.
   Milliseconds max_wait{0};
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -87,8 +87,10 @@
   /// Demand of all runs that the worker may have.
   Resources charged;
   std::map<job::RunKey, Run> runs;
-  /// Number of the last finished run whose end is durable, and of the last one in a list.
+  /// Number of the last finished run whose end is durable, of the last one that the worker has
+  /// accepted as acknowledged, and of the last one in a list.
   EndNumber recorded_end;
+  EndNumber acknowledged_end;
   EndNumber last_listed_end;
   /// Number of lists whose finished runs are being recorded.
   std::uint32_t lists_in_flight = 0;
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(Successor_NotConfirmed_WorkerGetsHigherFence);
   CPPUNIT_TEST(Successor_AcceptedHoldForAnother_GetsHigherFence);
   CPPUNIT_TEST(Fence_OfNextTerm_IsHigherThanAllBefore);
+  CPPUNIT_TEST(Hold_EndAcknowledgedBefore_DoesNotRepeatIt);
+  CPPUNIT_TEST(Hold_WorkerDoesNotAnswer_AcknowledgesNothing);
   CPPUNIT_TEST(LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged);
   CPPUNIT_TEST_SUITE_END();
 
@@ -282,6 +284,26 @@
     CPPUNIT_ASSERT(FirstFence(8) > FirstFence(7));
   }
 
+  // Guards against ends of the next incarnation that are removed before the leader has read them,
+  // because a hold brings the number of an end of the earlier one.
+  void Hold_EndAcknowledgedBefore_DoesNotRepeatIt() {
+    EndOneRunOnW1();
+    CPPUNIT_ASSERT_EQUAL(EndNumber(1), outbox_->holds.at(WorkerId("w1")).acknowledged);
+    AnswerHold("w1");
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(EndNumber(0), outbox_->holds.at(WorkerId("w1")).acknowledged);
+  }
+
+  void Hold_WorkerDoesNotAnswer_AcknowledgesNothing() {
+    EndOneRunOnW1();
+    FailHold("w1");
+    Advance(300);
+    CPPUNIT_ASSERT_EQUAL(EndNumber(0), outbox_->holds.at(WorkerId("w1")).acknowledged);
+    AnswerHold("w1");
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(EndNumber(1), outbox_->holds.at(WorkerId("w1")).acknowledged);
+  }
+
   // Guards against more tasks than a worker can hold: a run that is being stopped still counts.
   void LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged() {
     AddWorker("w1");
@@ -328,6 +350,16 @@
     return outbox_->starts.back();
   }
 
+  /// Lists the end of a run on w1, which the next hold acknowledges.
+  void EndOneRunOnW1() {
+    AddWorker("w1");
+    Submit("j", Spec(1, 1000));
+    const job::RunKey run = outbox_->starts.back().run;
+    Reply(outbox_->starts.back(), OrderOutcome::kAccepted);
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kDone, 1)});
+    Advance(100);
+  }
+
   void AnswerHoldWithoutCommit(const std::string& name, std::vector<ActiveRun> active) {
     HoldReply reply;
     reply.outcome = OrderOutcome::kAccepted;
