Give no tasks to a worker that may have ended until it has answered a hold

A worker that a later incarnation contests got tasks again when the reply to the confirming hold was lost, and a worker whose replies came with another clock got more starts. The next incarnation carried them out for the earlier one, or refused them, because their leases ended at a time of another clock.

Such a worker is in doubt, and gets no tasks until the known incarnation has answered a hold. The three new tests of WorkerRestartTest fail without this.

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -187,6 +187,8 @@
   /// Tells whether the configuration in force, if there is one, has a pool.
   bool IsPoolConfigured(const job::PoolId& pool) const;
   Fence NextFence();
+  /// Gives a worker no tasks until it has answered a hold.
+  void Doubt(Worker* worker, const char* reason);
   /// Sends a hold to the incarnation of a report that contests known workers. Its reply settles
   /// which of them exists.
   void QueryClaimant(const WorkerReport& report, const std::vector<WorkerId>& contested);
@@ -203,7 +205,8 @@
   /// Sends the start order of a start that has become durable.
   void SendStart(const job::StartRecord& record);
   void RemoveRun(const job::RunKey& key);
-  /// Records the clock reading in a reply if this incarnation of the worker has sent it.
+  /// Records the clock reading in a reply if this incarnation of the worker has sent it. If another
+  /// one has, the worker gets no tasks until it has answered a hold.
   ReadingOrigin RecordReading(Worker* worker, const OrderReply& reply);
   /// Marks the workers of runs under whose tasks workers have crashed. A worker gets no other tasks
   /// while a run that would be given up after the next crash is observed.
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -205,6 +205,17 @@
   next_batch_.reports.push_back(report);
 }
 
+void Coordinator::Doubt(Worker* worker, const char* reason) {
+  if (!worker->is_in_doubt) {
+    Event("worker_in_doubt", Severity::kWarning)
+        .With("worker", worker->id())
+        .With("born", worker->report.incarnation.started_at)
+        .With("reason", reason);
+  }
+  worker->is_in_doubt = true;
+  worker->next_hold = clock_.Now();
+}
+
 Fence Coordinator::NextFence() {
   last_fence_ = Fence(last_fence_.value() + 1);
   return last_fence_;
@@ -240,6 +251,11 @@
     Worker* worker = roster_.Find(it.worker);
     if (worker == nullptr || worker->report.incarnation != it) continue;
     --worker->open_claims;
+    // Without an answer, the report may be true.
+    const bool is_refuted =
+        reply.outcome == OrderOutcome::kOtherIncarnation ||
+        (reply.outcome == OrderOutcome::kAccepted && reply.started_at == it.started_at);
+    if (!is_refuted) Doubt(worker, "claim_not_answered");
     // If it has accepted the hold itself, it refuses orders with the fence that it had.
     if (it.worker == claim.report.incarnation.worker) worker->fence = NextFence();
   }
@@ -478,9 +494,11 @@
 }
 
 ReadingOrigin Coordinator::RecordReading(Worker* worker, const OrderReply& reply) {
+  if (reply.clock == WorkerMillis()) return ReadingOrigin::kUnclear;
   const TimePoint now = clock_.Now();
   const ReadingOrigin origin = worker->lease_clock.OriginOf(reply.clock, now);
   if (origin == ReadingOrigin::kThis) worker->lease_clock.RecordReading(reply.clock, now);
+  if (origin == ReadingOrigin::kOther) Doubt(worker, "other_clock");
   return origin;
 }
 
@@ -489,8 +507,9 @@
   Run* run = is_leader_ ? FindRun(order.run, &worker) : nullptr;
   if (run == nullptr || worker->report.incarnation != order.to.incarnation) return;
   run->start_settled_at = clock_.Now();
+  const ReadingOrigin origin = RecordReading(worker, reply);
   if (reply.outcome == OrderOutcome::kAccepted) {
-    if (RecordReading(worker, reply) == ReadingOrigin::kThis) run->may_be_on_successor = false;
+    if (origin == ReadingOrigin::kThis) run->may_be_on_successor = false;
     if (run->phase != RunPhase::kSent) return;
     run->phase = RunPhase::kActive;
     run->last_hold_number = worker->last_hold;
@@ -630,6 +649,7 @@
     next_batch_.returned_incarnations.push_back(worker->report.incarnation);
   }
   worker->unanswered_holds = 0;
+  worker->is_in_doubt = false;
   worker->acknowledged_end = std::max(worker->acknowledged_end, order.acknowledged);
   worker->last_hold_reply = now;
   worker->next_hold = now;
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -110,6 +110,8 @@
   std::optional<TimePoint> leave_received_at;
   /// Reports of other incarnations that say that this one has ended and are not settled yet.
   std::uint32_t open_claims = 0;
+  /// True if a report or a reply says that this incarnation has ended, until it answers a hold.
+  bool is_in_doubt = false;
   bool draining = false;
   /// Earliest time at which a draining worker leaves.
   TimePoint drain_end;
@@ -137,7 +139,9 @@
   /// Tells whether the worker has proved its address and start time by its last replies.
   bool IsAnswering() const { return reconciled && unanswered_holds == 0; }
   /// Tells whether nothing says that the worker is leaving or has ended.
-  bool IsStaying() const { return !draining && !leave_received_at && open_claims == 0; }
+  bool IsStaying() const {
+    return !draining && !leave_received_at && open_claims == 0 && !is_in_doubt;
+  }
   /// Tells whether the end of the worker has to be proved before another incarnation replaces it.
   bool NeedsProofOfEnd() const { return IsAnswering() || !runs.empty(); }
   /// Returns when the worker last gave a sign of life.
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -36,6 +36,9 @@
   CPPUNIT_TEST(Fence_OfNextTerm_IsHigherThanAllBefore);
   CPPUNIT_TEST(Hold_EndAcknowledgedBefore_DoesNotRepeatIt);
   CPPUNIT_TEST(Hold_WorkerDoesNotAnswer_AcknowledgesNothing);
+  CPPUNIT_TEST(Successor_HoldUnanswered_WorkerGetsNoTaskUntilItAnswers);
+  CPPUNIT_TEST(Start_AnsweredWithOtherClock_WorkerGetsNoTaskUntilItAnswers);
+  CPPUNIT_TEST(Start_RefusedWithOtherClock_WorkerGetsNoTaskUntilItAnswers);
   CPPUNIT_TEST(LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged);
   CPPUNIT_TEST_SUITE_END();
 
@@ -304,6 +307,36 @@
     CPPUNIT_ASSERT_EQUAL(EndNumber(1), outbox_->holds.at(WorkerId("w1")).acknowledged);
   }
 
+  // Guards against tasks that are given to an incarnation that has ended, because the reply to the
+  // hold that was to confirm its successor is lost.
+  void Successor_HoldUnanswered_WorkerGetsNoTaskUntilItAnswers() {
+    AddWorker("w1");
+    Advance(1000);
+    const HoldOrder in_flight = outbox_->holds.at(WorkerId("w1"));
+    ReportSuccessor();
+    FailHold("w1");
+    outbox_->holds[WorkerId("w1")] = in_flight;
+    AssertGetsNoTaskUntilW1Answers(0);
+  }
+
+  void Start_AnsweredWithOtherClock_WorkerGetsNoTaskUntilItAnswers() {
+    const StartOrder start = StartOnRestartedW1();
+    RestartWorker("w1", 2 * UnixNow().value());
+    Reply(start, OrderOutcome::kAccepted);
+    FailHold("w2");
+    AssertGetsNoTaskUntilW1Answers(1);
+  }
+
+  void Start_RefusedWithOtherClock_WorkerGetsNoTaskUntilItAnswers() {
+    AddWorker("w1");
+    Advance(1000);
+    Submit("j", Spec(1, 1000));
+    RestartWorker("w1", 2 * UnixNow().value());
+    Reply(outbox_->starts.back(), OrderOutcome::kLeaseExpired);
+    Advance(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+  }
+
   // Guards against more tasks than a worker can hold: a run that is being stopped still counts.
   void LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged() {
     AddWorker("w1");
@@ -350,6 +383,15 @@
     return outbox_->starts.back();
   }
 
+  /// Checks that a task starts only after w1 has answered a hold. `starts` were sent before.
+  void AssertGetsNoTaskUntilW1Answers(std::size_t starts) {
+    Submit("next", Spec(1, 1000));
+    CPPUNIT_ASSERT_EQUAL(starts, outbox_->starts.size());
+    clock_starts_.erase("w1");
+    AnswerHold("w1");
+    CPPUNIT_ASSERT_EQUAL(starts + 1, outbox_->starts.size());
+  }
+
   /// Lists the end of a run on w1, which the next hold acknowledges.
   void EndOneRunOnW1() {
     AddWorker("w1");
