--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -247,6 +247,9 @@
 
 void Coordinator::OnClaimReply(const HoldOrder& order, const HoldReply& reply) {
   const Claim claim = std::move(claims_.extract(order.to.incarnation).mapped());
+  const job::WorkerIncarnation& incarnation = claim.report.incarnation;
+  const bool answered =
+      reply.outcome == OrderOutcome::kAccepted && reply.started_at == incarnation.started_at;
   for (const job::WorkerIncarnation& it : claim.contested) {
     Worker* worker = roster_.Find(it.worker);
     if (worker == nullptr || worker->report.incarnation != it) continue;
@@ -255,14 +258,11 @@
     const bool is_refuted =
         reply.outcome == OrderOutcome::kOtherIncarnation ||
         (reply.outcome == OrderOutcome::kAccepted && reply.started_at == it.started_at);
-    if (!is_refuted) Doubt(worker, "claim_not_answered");
+    if (!answered && !is_refuted) Doubt(worker, "claim_not_answered");
     // If it has accepted the hold itself, it refuses orders with the fence that it had.
-    if (it.worker == claim.report.incarnation.worker) worker->fence = NextFence();
+    if (it.worker == incarnation.worker) worker->fence = NextFence();
   }
   outbox_.RequestSchedulingPass();
-  const job::WorkerIncarnation& incarnation = claim.report.incarnation;
-  const bool answered =
-      reply.outcome == OrderOutcome::kAccepted && reply.started_at == incarnation.started_at;
   WorkerRoster::ReportResult result =
       answered ? roster_.ApplyReport(claim.report, clock_.Now(), ReportProof::kAnswered)
                : WorkerRoster::ReportResult();
