Give a worker no task while it stops a run whose demand is unknown

A worker could get more tasks than it can hold (LIMIT): a run that it listed after the end of its job, whose demand the log no longer has, was charged with nothing while it was being stopped.

Such a run is charged with the whole capacity of the worker until its end is listed. LostRun_OfEndedJobListed_WorkerGetsNoTaskUntilItsEnd failed before.

--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -730,11 +730,12 @@
         .With("run", active.run.task)
         .With("number", active.run.run)
         .With("worker", worker->id());
-    // The demand is unknown if the job has ended. Otherwise the run is charged until it is stopped.
+    // The run is charged until it is stopped. If the job has ended, the demand is unknown, and the
+    // worker gets no tasks until then.
     const job::Job* job = cell_state_.Find(active.run.task.step.job);
     const std::uint32_t step = active.run.task.step.step;
     const bool has_spec = job != nullptr && step < job->spec.steps.size();
-    const Resources demand = has_spec ? job->spec.steps[step].demand : Resources();
+    const Resources demand = has_spec ? job->spec.steps[step].demand : worker->report.capacity;
     Run& run = roster_.ChargeRun(worker, active.run, demand, 0);
     run.phase = RunPhase::kActive;
     run.progressed_at = clock_.Now();
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(LostRun_ListedAsActive_TaskWaitsForItsEnd);
   CPPUNIT_TEST(LostRun_ListedWhileNextStartIsRecorded_StartIsNotSent);
   CPPUNIT_TEST(LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged);
+  CPPUNIT_TEST(LostRun_OfEndedJobListed_WorkerGetsNoTaskUntilItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -381,6 +382,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
   }
 
+  // The same if the demand of the run is not known any more.
+  void LostRun_OfEndedJobListed_WorkerGetsNoTaskUntilItsEnd() {
+    AddWorker("w1");
+    Submit("j", Spec(1, 3000));
+    const job::RunKey run = outbox_->starts.back().run;
+    coordinator_->Cancel(job::JobId("j"), [](ResultCode) {});
+    CommitAll();
+    ReportSuccessor();
+    AnswerHold("w1", {}, {}, kSuccessor);
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    Advance(100);
+    CPPUNIT_ASSERT(Submit("next", Spec(1, 2000)) == ResultCode::kOk);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->starts.size());
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kStopped, 1)}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+  }
+
  private:
   static constexpr std::int64_t kSuccessor = 2;
   static constexpr Milliseconds kMaxLease = Policy().max_lease;
