Hold tasks back whose runs an unreported incarnation lists

A hold to a worker that has restarted is answered by the next incarnation, with its lists, before that one has reported. The leader ignored the reply, so that a task could start elsewhere although the list named an earlier run of it as active.

Such runs are charged to the worker and stopped. They move to the next incarnation when it is adopted.

--- a/src/dispatch/coordinator.h
+++ b/src/dispatch/coordinator.h
@@ -166,6 +166,11 @@
   /// Compares the runs of a worker with the lists in the reply to hold number `hold`.
   void ReconcileRuns(Worker* worker, const HoldReply& reply, std::uint64_t hold);
   void RecordFinishedRuns(Worker* worker, const std::vector<FinishedRun>& finished);
+  /// Charges a listed run that is not open in the log to its worker, and has it stopped.
+  Run& ChargeUnknownRun(Worker* worker, const job::RunKey& key);
+  /// Charges the unknown runs that the successor of a worker lists to the worker, so that their
+  /// tasks do not start before the successor is adopted and has stopped them.
+  void ChargeRunsOfSuccessor(Worker* worker, const HoldReply& reply);
   void UpdateActiveRun(Worker* worker, const ActiveRun& active, std::uint64_t hold);
   /// Adds the end of a run to the next batch.
   void RecordEnd(const job::RunKey& key, job::RunEnd end, const std::string& checkpoint);
--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -45,6 +45,8 @@
 // crashed it.
 bool MayHaveCrashed(const Run& run, const Worker& worker, TimePoint now) {
   if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kRecordingEnd) return false;
+  // It was not ordered from this incarnation.
+  if (run.ordered_at == TimePoint()) return false;
   const bool is_long_running =
       (run.flags & static_cast<std::uint32_t>(job::StepFlag::kLongRunning)) != 0;
   return !is_long_running || worker.RunningUntil(now) - run.ordered_at < kLongRunningStartTime;
@@ -626,6 +628,7 @@
     return;
   }
   if (reply.outcome != OrderOutcome::kAccepted || proves_end) {
+    if (reply.outcome == OrderOutcome::kAccepted) ChargeRunsOfSuccessor(worker, reply);
     if (worker->unanswered_holds++ == 0) {
       worker->silent_since = now;
       Event("worker_silent", Severity::kWarning)
@@ -722,25 +725,39 @@
   duration_models_[job->queue].Observe(run.declared_duration, clock_.Now() - run.ordered_at);
 }
 
+// The log has no open run with this key: its start order was delayed and carried out late.
+Run& Coordinator::ChargeUnknownRun(Worker* worker, const job::RunKey& key) {
+  Event("run_unknown", Severity::kWarning)
+      .With("run", key.task)
+      .With("number", key.run)
+      .With("worker", worker->id());
+  // The run is charged until it is stopped. If the job has ended, the demand is unknown, and the
+  // worker gets no tasks until then.
+  const job::Job* job = cell_state_.Find(key.task.step.job);
+  const std::uint32_t step = key.task.step.step;
+  const bool has_spec = job != nullptr && step < job->spec.steps.size();
+  const Resources demand = has_spec ? job->spec.steps[step].demand : worker->report.capacity;
+  Run& run = roster_.ChargeRun(worker, key, demand, 0);
+  run.phase = RunPhase::kActive;
+  run.progressed_at = clock_.Now();
+  worker_by_run_[key] = worker->id();
+  RequestStop(&run);
+  return run;
+}
+
+void Coordinator::ChargeRunsOfSuccessor(Worker* worker, const HoldReply& reply) {
+  for (const ActiveRun& it : reply.active) {
+    if (worker->runs.contains(it.run)) continue;
+    Run& run = ChargeUnknownRun(worker, it.run);
+    run.may_be_on_successor = true;
+    run.start_settled_at = clock_.Now();
+  }
+}
+
 void Coordinator::UpdateActiveRun(Worker* worker, const ActiveRun& active, std::uint64_t hold) {
   auto it = worker->runs.find(active.run);
   if (it == worker->runs.end()) {
-    // The log has no open run with this key: its start order was delayed and carried out late.
-    Event("run_unknown", Severity::kWarning)
-        .With("run", active.run.task)
-        .With("number", active.run.run)
-        .With("worker", worker->id());
-    // The run is charged until it is stopped. If the job has ended, the demand is unknown, and the
-    // worker gets no tasks until then.
-    const job::Job* job = cell_state_.Find(active.run.task.step.job);
-    const std::uint32_t step = active.run.task.step.step;
-    const bool has_spec = job != nullptr && step < job->spec.steps.size();
-    const Resources demand = has_spec ? job->spec.steps[step].demand : worker->report.capacity;
-    Run& run = roster_.ChargeRun(worker, active.run, demand, 0);
-    run.phase = RunPhase::kActive;
-    run.progressed_at = clock_.Now();
-    worker_by_run_[active.run] = worker->id();
-    RequestStop(&run);
+    ChargeUnknownRun(worker, active.run);
     return;
   }
   Run& run = it->second;
--- a/tests/dispatch/worker_restart_test.cpp
+++ b/tests/dispatch/worker_restart_test.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(LostRun_ListedAsActive_TaskWaitsForItsEnd);
   CPPUNIT_TEST(LostRun_ListedWhileNextStartIsRecorded_StartIsNotSent);
   CPPUNIT_TEST(LostRun_ListedAgainBeforeItsEndIsRecorded_StaysCharged);
+  CPPUNIT_TEST(LostRun_ListedByUnreportedSuccessor_TaskWaitsForItsEnd);
   CPPUNIT_TEST(LostRun_OfEndedJobListed_WorkerGetsNoTaskUntilItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -382,6 +383,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox_->stops.size());
   }
 
+  // The same if the list is that of an incarnation which has not reported yet.
+  void LostRun_ListedByUnreportedSuccessor_TaskWaitsForItsEnd() {
+    const job::RunKey run = StartOnRestartedW1().run;
+    Reply(outbox_->starts.back(), OrderOutcome::kNoCapacity);
+    const StartOrder second = outbox_->starts.back();
+    CPPUNIT_ASSERT(second.run != run);
+    AnswerHold("w1", {ActiveOf(run)}, {}, kSuccessor);
+    Reply(second, OrderOutcome::kNoCapacity);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox_->starts.size());
+    ReportSuccessor();
+    AnswerHold("w1", {}, {EndOf(run, RunEnd::kStopped, 1)}, kSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, outbox_->starts.size());
+  }
+
   // The same if the demand of the run is not known any more.
   void LostRun_OfEndedJobListed_WorkerGetsNoTaskUntilItsEnd() {
     AddWorker("w1");
