Play seeded restarts of workers under their ids in virtual time

The cell's simulation gets a second mix of faults: workers restart under their ids and addresses, with clocks that begin anywhere, are cut off soon after or lose their first reports, while starts, stops and holds are lost, lose their answers or are carried out 2 to 12 s late, and leaders change.

A run that a worker starts on a late order meant for an earlier incarnation, before it has accepted any order of its own, counts for the oracle only from when the leader has read of it: no order could have prevented it. Existing tests play the same faults as before.

--- a/tests/dispatch/cell_simulation.h
+++ b/tests/dispatch/cell_simulation.h
@@ -18,9 +18,18 @@
 
 namespace parsleyline::dispatch {
 
+/// Which faults a CellSimulation injects.
+enum class FaultMix : std::uint8_t {
+  kAll,
+  /// Workers restart under their ids and are cut off, while orders are lost or delayed and leaders
+  /// change.
+  kRestarts,
+};
+
 /// Parameters of a CellSimulation.
 struct CellSetup {
   std::uint32_t seed = 1;
+  FaultMix faults = FaultMix::kAll;
   std::size_t replicas = 3;
   std::size_t workers = 120;
   std::size_t advisor_clients = 8;
@@ -32,6 +41,9 @@
   /// Number of workers that the advisor approves for each step. A gang of the widest steps fits
   /// into them only if nearly all of them are known to be approved.
   std::size_t approved_workers = 8;
+  /// False if tasks start without the advisor's tickets, which only one incarnation accepts.
+  bool needs_tickets = true;
+  Milliseconds max_run_time{3000};
   /// Time in which jobs are submitted and faults injected, and the time after it in which the cell
   /// has to end all accepted jobs.
   Milliseconds load{30'000};
@@ -100,6 +112,8 @@
   void DeliverStop(Replica* sender, const StopOrder& order);
   void DeliverHold(Replica* sender, const HoldOrder& order);
   void AnswerHold(std::size_t worker);
+  /// Fails the hold that waits at a worker which ends.
+  void DropPendingHold(std::size_t worker);
   void DeliverQuery(Replica* sender, const NodeId& client, const AdvisorQuery& query);
   bool IsApproved(const job::StepKey& step, const WorkerId& worker) const;
   bool IsTicketValid(const std::string& ticket, const testing::EmulatedWorker& worker) const;
@@ -112,6 +126,9 @@
   void DeposeLeader();
   void PartitionLeader();
   void CrashWorkers();
+  /// Restarts workers under their ids. Some are cut off soon after, and the first reports of some
+  /// are lost.
+  void RestartWorkers();
   void CutWorkers();
   void LoseMessages();
   void DelayOrders();
@@ -152,6 +169,8 @@
   std::map<NodeId, TimePoint> client_free_at_;
   std::set<NodeId> silent_clients_;
   std::set<std::size_t> cut_workers_;
+  /// Until when the reports of a worker are lost.
+  std::map<std::size_t, TimePoint> mute_until_;
   double loss_probability_ = 0;
   double late_probability_ = 0;
 };
