Have the soak restart workers under their ids and cut them off

The soak restarts one of the proxied workers under its id every 3 to 8 s, with a clock that begins anywhere, and silences its connections soon after, from random numbers of its own, so that seeds play the other faults as before.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kUnreadCalls = 30;
 constexpr std::size_t kUnreadPeers = 20;
 constexpr std::size_t kReadStepBytes = 10'000;
+// The clock of a restarted worker begins below this.
+constexpr std::int64_t kMaxClockMs = 9'000'000;
 
 }  // namespace
 
@@ -32,6 +34,7 @@
       random_(seed),
       series_random_(~seed),
       resize_random_(seed + 1),
+      restart_random_(~seed - 1),
       processes_(processes),
       platform_(platform),
       operator_(config_operator),
@@ -58,6 +61,10 @@
   return milliseconds(least + static_cast<std::int64_t>(series_random_() % (most - least + 1)));
 }
 
+milliseconds FaultPlan::RandomRestartDuration(std::int64_t least, std::int64_t most) {
+  return milliseconds(least + static_cast<std::int64_t>(restart_random_() % (most - least + 1)));
+}
+
 void FaultPlan::LogFault(const std::string& description) {
   std::ostringstream line;
   line << std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_)
@@ -70,6 +77,26 @@
   InjectNextFault();
   InjectNextSeries();
   ResizeNextWorker();
+  RestartNextWorker();
+}
+
+void FaultPlan::RestartNextWorker() {
+  if (!active_) return;
+  RunAfter(io_, RandomRestartDuration(3000, 8000), [this] { RestartNextWorker(); });
+  const std::size_t number = restart_random_() % proxies_.size();
+  const milliseconds down_time = RandomRestartDuration(5, 1500);
+  const milliseconds clock = RandomRestartDuration(0, kMaxClockMs);
+  const milliseconds cut = down_time + RandomRestartDuration(0, 3000);
+  const milliseconds cut_time = RandomRestartDuration(2000, 10'000);
+  if (!platform_.fleet().worker(number).up) return;
+  LogFault("restart worker " + std::to_string(number) + ", cut it off after " +
+           std::to_string(cut.count()) + " ms for " + std::to_string(cut_time.count()) + " ms");
+  platform_.CrashWorker(number);
+  RunAfter(io_, down_time, [this, number, clock] { platform_.RestartWorker(number, clock); });
+  RunAfter(io_, cut, [this, number] {
+    if (active_) proxies_[number]->RunCommand("silence");
+  });
+  RunAfter(io_, cut + cut_time, [this, number] { proxies_[number]->Heal(); });
 }
 
 // The capacity of workers changes all the while, from random numbers of its own.
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -32,6 +32,8 @@
   void InjectNextFault();
   void InjectNextSeries();
   void ResizeNextWorker();
+  /// Restarts a worker under its id, with a clock that begins anywhere, and cuts it off soon after.
+  void RestartNextWorker();
   void KillProcess();
   void PauseProcess();
   void RestartProcess();
@@ -53,12 +55,14 @@
   std::size_t RandomBelow(std::size_t below) { return random_() % below; }
   milliseconds RandomDuration(std::int64_t least, std::int64_t most);
   milliseconds RandomSeriesDuration(std::int64_t least, std::int64_t most);
+  milliseconds RandomRestartDuration(std::int64_t least, std::int64_t most);
   void LogFault(const std::string& description);
 
   boost::asio::io_context& io_;
   std::mt19937 random_;
   std::mt19937 series_random_;
   std::mt19937 resize_random_;
+  std::mt19937 restart_random_;
   Processes& processes_;
   StandinPlatform& platform_;
   Operator& operator_;
--- a/tests/standin_platform/standin_platform.cpp
+++ b/tests/standin_platform/standin_platform.cpp
@@ -319,7 +319,9 @@
   fleet_.ResizeWorker(number, cpu, Now());
 }
 
-void StandinPlatform::RestartWorker(std::size_t number) { fleet_.RestartWorker(number, Now()); }
+void StandinPlatform::RestartWorker(std::size_t number, milliseconds clock) {
+  fleet_.RestartWorker(number, Now(), clock);
+}
 
 void StandinPlatform::DrainWorker(std::size_t number, milliseconds patience) {
   if (!fleet_.worker(number).up || endpoints_[number].draining) return;
--- a/tests/standin_platform/standin_platform.h
+++ b/tests/standin_platform/standin_platform.h
@@ -52,7 +52,7 @@
 
   /// Ends the incarnation of a worker; RestartWorker starts the next one.
   void CrashWorker(std::size_t number);
-  void RestartWorker(std::size_t number);
+  void RestartWorker(std::size_t number, milliseconds clock = milliseconds(0));
   /// Changes the CPU capacity of a worker, which its next report contains.
   void ResizeWorker(std::size_t number, std::int64_t cpu);
   /// Drains a worker: after `patience` it deregisters and ends, and after as long again its next
