--- a/src/dispatch/coordinator_workers.cpp
+++ b/src/dispatch/coordinator_workers.cpp
@@ -367,8 +367,8 @@
           return it.second.phase == RunPhase::kStopped || it.second.phase == RunPhase::kUncertain ||
                  it.second.stop_requested;
         });
-    // A worker that does not answer may have restarted. Its next incarnation would take the lease
-    // for its own, whose clock shows less, and remove ends that have not been read.
+    // A worker that does not answer may have restarted. Its next incarnation would take a lease
+    // that ends at a time of another clock, and remove ends that have not been read.
     const bool answers = worker.unanswered_holds == 0;
     const WorkerMillis lease = answers ? worker.lease_clock.GrantLease(now) : WorkerMillis();
     const bool acknowledges = answers && worker.recorded_end > worker.acknowledged_end;
