--- a/src/dispatch/policy.h
+++ b/src/dispatch/policy.h
@@ -46,7 +46,7 @@
   /// limited reservations. They need many workers at once, and fit only with a reservation.
   Milliseconds gang_slack_deduction_per_task{40};
   /// Longest lease that a worker takes. It shortens longer ones, such as one that was meant for its
-  /// earlier incarnation, whose clock showed more.
+  /// earlier incarnation and ends at a time of another clock.
   Milliseconds max_lease{10'000};
 };
 
